--- /dev/null
+++ b/internal/backend/client.go
@@ -0,0 +1,169 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/wingvale/wingvale/internal/wire"
+	"github.com/wingvale/wingvale/request"
+	"github.com/wingvale/wingvale/verdict"
+)
+
+// Client calls backend servers. It is safe for concurrent use.
+type Client struct {
+	transport *http.Transport
+}
+
+// New returns a client that connects with dial.
+func New(dial Dial) *Client {
+	return &Client{transport: newTransport(dial)}
+}
+
+// Close drops the kept connections. Calls under way go on.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+}
+
+// Call names one call to a backend server.
+type Call struct {
+	Server  netip.AddrPort
+	Request request.ID
+	Stage   string
+	// Attempt numbers the sends of this stage, from 1.
+	Attempt int
+	// Deadline is when the answer is of no more use.
+	Deadline time.Time
+}
+
+// Report is what an answer says beside its content.
+type Report struct {
+	Load  Load
+	Known bool
+}
+
+// Stage calls a pool or a plain service and returns its result. The report is
+// valid also where an error is returned.
+func (c *Client) Stage(ctx context.Context, call Call, body StageCall) (json.RawMessage, Report, error) {
+	body.Request, body.Stage, body.Attempt = call.Request, call.Stage, call.Attempt
+	response, err := c.post(ctx, call, PathStages+call.Stage, body)
+	if err != nil {
+		return nil, Report{}, err
+	}
+	defer drain(response.Body)
+	report := reportOf(response)
+	if response.StatusCode != http.StatusOK {
+		return nil, report, refusal(response)
+	}
+	answer, err := wire.ReadLoose[StageAnswer](response.Body, MaxResultBytes)
+	if err != nil {
+		return nil, report, verdict.New(verdict.Unknown, verdict.ReasonBadAnswer, "backend: %s: %w", call.Server, err)
+	}
+	if answer.Request != call.Request || answer.Stage != call.Stage || answer.Attempt != call.Attempt {
+		return nil, report, verdict.New(verdict.Unknown, verdict.ReasonBadAnswer,
+			"backend: %s answered for request %s stage %s attempt %d", call.Server, answer.Request, answer.Stage, answer.Attempt)
+	}
+	return answer.Result, report, nil
+}
+
+func (c *Client) post(ctx context.Context, call Call, path string, body any) (*http.Response, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonInternal, "backend: %w", err)
+	}
+	url := "http://" + call.Server.String() + path
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, onceBody{bytes.NewReader(data)})
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonInternal, "backend: %w", err)
+	}
+	r.ContentLength = int64(len(data))
+	setHeaders(r, call)
+	r.Header.Set(wire.ContentType, wire.TypeJSON)
+	response, err := exchange(c.transport, r)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkEcho(response, call); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+func setHeaders(r *http.Request, call Call) {
+	r.Header.Set(HeaderRequest, call.Request.String())
+	r.Header.Set(HeaderStage, call.Stage)
+	r.Header.Set(HeaderAttempt, strconv.Itoa(call.Attempt))
+	if !call.Deadline.IsZero() {
+		left := max(time.Until(call.Deadline).Milliseconds(), 0)
+		r.Header.Set(HeaderDeadline, strconv.FormatInt(left, 10))
+	}
+}
+
+// checkEcho drops an answer that is for another call, whatever its status: a
+// refusal meant for another must not pass as "not started" either.
+func checkEcho(response *http.Response, call Call) error {
+	h := response.Header
+	if h.Get(HeaderRequest) == call.Request.String() &&
+		h.Get(HeaderStage) == call.Stage &&
+		h.Get(HeaderAttempt) == strconv.Itoa(call.Attempt) {
+		return nil
+	}
+	return verdict.New(verdict.Unknown, verdict.ReasonBadAnswer,
+		"backend: %s echoed request %.80q stage %.80q attempt %.20q", call.Server,
+		h.Get(HeaderRequest), h.Get(HeaderStage), h.Get(HeaderAttempt))
+}
+
+func reportOf(response *http.Response) Report {
+	load, known := ParseLoad(response.Header)
+	return Report{Load: load, Known: known}
+}
+
+const refusalLimit = 8 << 10
+
+// refusal turns an answer that is not 200 into an error. It is NotRun only if
+// the server says that the call did not start.
+func refusal(response *http.Response) error {
+	body, _ := wire.ReadLoose[Refusal](response.Body, refusalLimit)
+	v, reason := verdict.Unknown, verdict.ReasonServerFailed
+	if response.Header.Get(HeaderNotStarted) == "true" {
+		v, reason = verdict.NotRun, verdict.ReasonRefused
+	}
+	e := verdict.New(v, reason, "backend: status %d: %.200s", response.StatusCode, body.Error)
+	return e.After(body.RetryAfter.Std())
+}
+
+const drainLimit = 64 << 10
+
+// drain reads the rest of a body so that its connection can be kept.
+func drain(body io.ReadCloser) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, drainLimit))
+	_ = body.Close()
+}
+
+// get reads one JSON answer of a GET, which may be repeated.
+func get[T any](ctx context.Context, c *Client, server netip.AddrPort, path string, limit int64) (T, error) {
+	var zero T
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server.String()+path, http.NoBody)
+	if err != nil {
+		return zero, fmt.Errorf("backend: %w", err)
+	}
+	response, err := c.transport.RoundTrip(r)
+	if err != nil {
+		return zero, fmt.Errorf("backend: %w", err)
+	}
+	defer drain(response.Body)
+	if response.StatusCode != http.StatusOK {
+		return zero, fmt.Errorf("backend: %s%s: status %d", server, path, response.StatusCode)
+	}
+	return wire.ReadLoose[T](response.Body, limit)
+}
--- /dev/null
+++ b/internal/backend/engine.go
@@ -0,0 +1,257 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"iter"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/wingvale/wingvale/internal/wire"
+	"github.com/wingvale/wingvale/pipeline"
+	"github.com/wingvale/wingvale/verdict"
+)
+
+const maxEventBytes = 256 << 10
+
+// Piece is one part of an engine's stream.
+type Piece struct {
+	// Offset counts the pieces of the stream from 0 without gaps.
+	Offset int
+	Text   string
+	// Usage is set on the last piece.
+	Usage *CompletionUsage
+}
+
+// Stream is an engine's answer under way. Close must be called.
+type Stream struct {
+	// ID is the engine's name of the stream and is never empty.
+	ID string
+	// Report is what the engine said when the stream began.
+	Report Report
+
+	body   io.ReadCloser
+	server string
+	// next is the offset that the next piece must bear.
+	next int
+}
+
+// Complete starts a completion. An error says whether it may have started.
+func (c *Client) Complete(ctx context.Context, call Call, body Completion) (*Stream, Report, error) {
+	body.Stream = true
+	response, err := c.post(ctx, call, PathCompletions, body)
+	if err != nil {
+		return nil, Report{}, err
+	}
+	return newStream(response, call, "", 0)
+}
+
+// Resume goes on with the stream id at the piece with the given offset. It
+// starts nothing, so it may be repeated.
+func (c *Client) Resume(ctx context.Context, call Call, id string, offset int) (*Stream, Report, error) {
+	path := PathStreams + url.PathEscape(id) + "?from=" + strconv.Itoa(offset)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+call.Server.String()+path, http.NoBody)
+	if err != nil {
+		return nil, Report{}, verdict.New(verdict.Unknown, verdict.ReasonInternal, "backend: %w", err)
+	}
+	setHeaders(r, call)
+	response, err := c.transport.RoundTrip(r)
+	if err != nil {
+		return nil, Report{}, verdict.New(verdict.Unknown, verdict.ReasonConnection, "backend: %w", err)
+	}
+	if response.StatusCode == http.StatusOK {
+		if err := checkEcho(response, call); err != nil {
+			_ = response.Body.Close()
+			return nil, Report{}, err
+		}
+	}
+	s, report, err := newStream(response, call, id, offset)
+	if err != nil {
+		return nil, report, verdict.AfterSend(err)
+	}
+	return s, report, nil
+}
+
+// Cancel ends the stream id at the engine.
+func (c *Client) Cancel(ctx context.Context, call Call, id string) error {
+	path := "http://" + call.Server.String() + PathStreams + url.PathEscape(id)
+	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, path, http.NoBody)
+	if err != nil {
+		return err
+	}
+	setHeaders(r, call)
+	response, err := c.transport.RoundTrip(r)
+	if err != nil {
+		return err
+	}
+	drain(response.Body)
+	return nil
+}
+
+func newStream(response *http.Response, call Call, want string, offset int) (*Stream, Report, error) {
+	report := reportOf(response)
+	if response.StatusCode != http.StatusOK {
+		defer drain(response.Body)
+		return nil, report, refusal(response)
+	}
+	id := response.Header.Get(HeaderStream)
+	if id == "" || len(id) > pipeline.MaxNameBytes || want != "" && id != want {
+		_ = response.Body.Close()
+		return nil, report, verdict.New(verdict.Unknown, verdict.ReasonBadAnswer, "backend: %s names stream %.80q", call.Server, id)
+	}
+	return &Stream{ID: id, Report: report, body: response.Body, server: call.Server.String(), next: offset}, report, nil
+}
+
+// Close gives the stream up at this end only.
+func (s *Stream) Close() {
+	_ = s.body.Close()
+}
+
+// Next returns the offset that the next piece will have.
+func (s *Stream) Next() int {
+	return s.next
+}
+
+var (
+	errCut    = errors.New("backend: the stream ended before its end mark")
+	errNoLast = errors.New("backend: the stream's end mark came without a finish reason")
+)
+
+// Pieces yields the pieces in order. An error ends it; without one the stream
+// is whole.
+func (s *Stream) Pieces() iter.Seq2[Piece, error] {
+	return func(yield func(Piece, error) bool) {
+		finished := false
+		for event, err := range sse.Read(s.body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+			if err != nil {
+				yield(Piece{}, verdict.New(verdict.Unknown, verdict.ReasonConnection, "backend: %s: %w", s.server, err))
+				return
+			}
+			if event.Data == StreamEnd {
+				if !finished {
+					yield(Piece{}, s.bad(errNoLast))
+				}
+				return
+			}
+			piece, last, err := s.piece(event)
+			if err != nil {
+				yield(Piece{}, s.bad(err))
+				return
+			}
+			finished = last
+			if !yield(piece, nil) {
+				return
+			}
+		}
+		yield(Piece{}, verdict.New(verdict.Unknown, verdict.ReasonConnection, "backend: %s: %w", s.server, errCut))
+	}
+}
+
+func (s *Stream) bad(err error) error {
+	return verdict.New(verdict.Unknown, verdict.ReasonBadAnswer, "backend: %s: %w", s.server, err)
+}
+
+// piece checks that the event is the stream's next one.
+func (s *Stream) piece(event sse.Event) (Piece, bool, error) {
+	var chunk CompletionChunk
+	if err := json.Unmarshal([]byte(event.Data), &chunk); err != nil {
+		return Piece{}, false, err
+	}
+	if chunk.ID != s.ID {
+		return Piece{}, false, errors.New("backend: a piece of another stream")
+	}
+	if event.LastEventID != strconv.Itoa(s.next) {
+		return Piece{}, false, errors.New("backend: a piece out of order")
+	}
+	if len(chunk.Choices) != 1 || chunk.Choices[0].Index != 0 {
+		return Piece{}, false, errors.New("backend: a piece without its one choice")
+	}
+	choice := chunk.Choices[0]
+	if choice.FinishReason != nil && *choice.FinishReason != "stop" && *choice.FinishReason != "length" {
+		return Piece{}, false, errors.New("backend: the engine ended with " + strconv.Quote(*choice.FinishReason))
+	}
+	p := Piece{Offset: s.next, Text: choice.Text, Usage: chunk.Usage}
+	s.next++
+	return p, choice.FinishReason != nil, nil
+}
+
+// EngineState is an engine's full load report.
+type EngineState struct {
+	Instance string   `json:"instance"`
+	Running  int      `json:"running"`
+	Waiting  int      `json:"waiting"`
+	Slots    int      `json:"slots"`
+	Leaving  bool     `json:"leaving"`
+	Models   []Loaded `json:"models,omitempty"`
+	Role     string   `json:"role,omitempty"`
+	// Fence is the highest that the engine has accepted.
+	Fence uint64 `json:"fence"`
+	// MemoryBytes and UsedBytes are what models share.
+	MemoryBytes int64 `json:"memory_bytes,omitempty"`
+	UsedBytes   int64 `json:"used_bytes,omitempty"`
+}
+
+// Loaded is one model that an engine holds.
+type Loaded struct {
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters,omitempty"`
+	// Ready is false while the weights are still coming.
+	Ready bool `json:"ready"`
+}
+
+// Load returns the part of the report that all backend servers give.
+func (s EngineState) Load() Load {
+	return Load{Instance: s.Instance, Running: s.Running, Waiting: s.Waiting, Slots: s.Slots, Leaving: s.Leaving}
+}
+
+const stateLimit = 64 << 10
+
+// State asks a backend server for its load report.
+func (c *Client) State(ctx context.Context, call Call) (EngineState, error) {
+	return get[EngineState](ctx, c, call.Server, PathLoad, stateLimit)
+}
+
+// Action is what an order asks an engine to do.
+type Action string
+
+// Actions of orders.
+const (
+	ActionLoad   Action = "load"
+	ActionUnload Action = "unload"
+	ActionRole   Action = "role"
+)
+
+// Order is a fenced order to an engine.
+type Order struct {
+	// Fence must be higher than the engine's highest.
+	Fence uint64 `json:"fence"`
+	// Owner is the node that orders.
+	Owner    string   `json:"owner"`
+	Action   Action   `json:"action"`
+	Model    string   `json:"model,omitempty"`
+	Version  string   `json:"version,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
+	Role     string   `json:"role,omitempty"`
+}
+
+// Order sends one order, once.
+func (c *Client) Order(ctx context.Context, call Call, order Order) (EngineState, error) {
+	response, err := c.post(ctx, call, PathOrders, order)
+	if err != nil {
+		return EngineState{}, err
+	}
+	defer drain(response.Body)
+	if response.StatusCode != http.StatusOK {
+		return EngineState{}, refusal(response)
+	}
+	return wire.ReadLoose[EngineState](response.Body, stateLimit)
+}
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,139 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package command is the wingvale command line.
+package command
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/wingvale/wingvale/verdict"
+)
+
+// Exit codes of the command line.
+const (
+	ExitDone    = 0
+	ExitFailed  = 1
+	ExitUsage   = 2
+	ExitNotRun  = 3
+	ExitUnknown = 4
+)
+
+// Version is the release; the linker may set it.
+var Version = "0.1.0"
+
+// arguments are the command line's.
+type arguments struct {
+	Check    checkCommand    `cmd:"" help:"Check settings files and published values without starting anything."`
+	Request  requestCommand  `cmd:"" help:"Send one request and print its answer as it comes."`
+	Entries  entriesCommand  `cmd:"" help:"Ask a node which addresses callers should use."`
+	Dump     dumpCommand     `cmd:"" help:"Print what a node knows, from its peer address."`
+	Load     loadCommand     `cmd:"" help:"Offer requests at a rate; print attainment, latency and cost by stage."`
+	Standin  standinCommand  `cmd:"" help:"Serve stand-ins of a site's platform and backend servers on loopback."`
+	Demo     demoCommand     `cmd:"" help:"Run both example sites in this process, with a stop and a failure under load."`
+	Campaign campaignCommand `cmd:"" help:"Run seeds of the random fault campaign and name any broken promise."`
+	Measure  measureCommand  `cmd:"" help:"Run one of the measurements that the docs quote."`
+	Version  versionCommand  `cmd:"" help:"Print the release."`
+}
+
+// output is where a command writes.
+type output struct {
+	out io.Writer
+	err io.Writer
+}
+
+// Main runs the command line and returns its exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	var a arguments
+	parser, err := kong.New(&a,
+		kong.Name("wingvale"),
+		kong.Description("Operates and calls wingvale.\n\nExit codes: 0 done, 1 failed, 2 bad usage or settings, 3 the request did not run, 4 it may have run."),
+		kong.Writers(out, errOut),
+		kong.Exit(func(int) {}),
+		kong.UsageOnError(),
+	)
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return ExitFailed
+	}
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, "wingvale:", err)
+		return ExitUsage
+	}
+	if ctx.Command() == "" || ctx.Error != nil {
+		return ExitDone
+	}
+	if err := ctx.Run(&output{out: out, err: errOut}); err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return exitCode(err)
+	}
+	return ExitDone
+}
+
+var errUsage = errors.New("bad usage or settings")
+
+func exitCode(err error) int {
+	if errors.Is(err, errUsage) {
+		return ExitUsage
+	}
+	var e *verdict.Error
+	if !errors.As(err, &e) {
+		return ExitFailed
+	}
+	if e.Verdict == verdict.NotRun {
+		return ExitNotRun
+	}
+	return ExitUnknown
+}
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// format is the output flag that commands share.
+type format struct {
+	Output string `enum:"text,json" default:"text" help:"text for people, json for machines."`
+}
+
+func (f format) json() bool {
+	return f.Output == outputJSON
+}
+
+func (o *output) printJSON(v any) error {
+	e := json.NewEncoder(o.out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+func (o *output) printf(text string, args ...any) {
+	_, _ = fmt.Fprintf(o.out, text, args...)
+}
+
+// addresses parses IP numbers with ports.
+func addresses(texts []string) ([]netip.AddrPort, error) {
+	list := make([]netip.AddrPort, 0, len(texts))
+	for _, t := range texts {
+		a, err := netip.ParseAddrPort(t)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %q: want an IP number and a port, as in 10.0.0.1:7000", errUsage, t)
+		}
+		list = append(list, a)
+	}
+	return list, nil
+}
+
+type versionCommand struct{}
+
+// Run prints the release.
+func (versionCommand) Run(o *output) error {
+	o.printf("wingvale %s\n", Version)
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,104 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package daemon runs one node as a process: its settings, logs, metrics,
+// sockets and signals.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/wingvale/wingvale/internal/node"
+	"github.com/wingvale/wingvale/internal/settings"
+)
+
+const (
+	reportEvery = time.Second
+	prefix      = "wingvale"
+)
+
+// Logger returns a logger as the settings ask.
+func Logger(s settings.Settings, out io.Writer) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetLevel(s.LogLevel)
+	if s.LogJSON {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return log
+}
+
+// Run runs a node until SIGTERM or SIGINT has stopped it as planned, or a
+// second signal at once.
+func Run(s settings.Settings, out io.Writer) error {
+	log := Logger(s, out)
+	callers, err := listen(s.Caller)
+	if err != nil {
+		return err
+	}
+	peers, err := listen(s.Peer)
+	if err != nil {
+		return err
+	}
+	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         prefix,
+		CachedReporter: reporter,
+		Separator:      tallyprometheus.DefaultSeparator,
+	}, reportEvery)
+	defer func() { _ = closer.Close() }()
+	n := node.New(node.Options{
+		Settings:       s,
+		Log:            log,
+		Scope:          scope,
+		Dial:           (&net.Dialer{}).DialContext,
+		CallerListener: callers,
+		PeerListener:   peers,
+		Metrics:        reporter.HTTPHandler(),
+		Seed:           uint64(time.Now().UnixNano()),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go await(n, cancel, log)
+	log.WithFields(logrus.Fields{"caller": s.Caller, "peer": s.Peer, "zone": s.Zone}).Info("listening")
+	return n.Run(ctx)
+}
+
+func listen(address netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, fmt.Errorf("daemon: %w", err)
+	}
+	return l, nil
+}
+
+// await stops the node at the first signal and ends it at the second.
+func await(n *node.Node, cancel context.CancelFunc, log logrus.FieldLogger) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	for range 2 {
+		select {
+		case <-n.Done():
+			return
+		case s := <-signals:
+			log.WithField("signal", s.String()).Info("asked to stop")
+			if n.Leaving() {
+				cancel()
+				return
+			}
+			n.Stop()
+		}
+	}
+}
--- /dev/null
+++ b/internal/estimate/estimate.go
@@ -0,0 +1,104 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package estimate predicts how long work takes from what was seen of its
+// kind, and says so where nothing was seen.
+package estimate
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	gain = 0.1
+	// fewSamples is below which the plain mean is kept.
+	fewSamples = 10
+	maxKinds   = 4096
+)
+
+// Estimate is a prediction.
+type Estimate struct {
+	// Mean is the expected time.
+	Mean time.Duration
+	// Spread is the mean deviation from Mean.
+	Spread time.Duration
+	// Samples is how many times were seen; 0 means that Mean is a guess.
+	Samples int
+}
+
+// Likely returns a time that most calls keep.
+func (e Estimate) Likely() time.Duration {
+	return e.Mean + e.Spread
+}
+
+// Table keeps one estimate for each kind of work. It is safe for concurrent
+// use and holds a bounded number of kinds.
+type Table struct {
+	mu    sync.Mutex
+	kinds map[string]*series
+}
+
+type series struct {
+	mean, spread float64
+	samples      int
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{kinds: make(map[string]*series)}
+}
+
+// Add takes one time into account.
+func (t *Table) Add(kind string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.kinds[kind]
+	if s == nil {
+		if len(t.kinds) >= maxKinds {
+			return
+		}
+		s = &series{}
+		t.kinds[kind] = s
+	}
+	s.samples++
+	x := d.Seconds()
+	if s.samples == 1 {
+		s.mean = x
+		return
+	}
+	g := gain
+	if s.samples < fewSamples {
+		g = 1 / float64(s.samples)
+	}
+	s.spread += g * (math.Abs(x-s.mean) - s.spread)
+	s.mean += g * (x - s.mean)
+}
+
+// Of returns the estimate of kind. With no sample its Mean is 0, which never
+// refuses work that nothing is known about.
+func (t *Table) Of(kind string) Estimate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.kinds[kind]
+	if s == nil {
+		return Estimate{}
+	}
+	return Estimate{Mean: seconds(s.mean), Spread: seconds(s.spread), Samples: s.samples}
+}
+
+// All returns a copy of the table, for the dump.
+func (t *Table) All() map[string]Estimate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := make(map[string]Estimate, len(t.kinds))
+	for k, s := range t.kinds {
+		all[k] = Estimate{Mean: seconds(s.mean), Spread: seconds(s.spread), Samples: s.samples}
+	}
+	return all
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,364 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package fleet
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Options sets the times of a View. Zero fields take the defaults.
+type Options struct {
+	// SuspectFor is how long a suspect may refute before it is gone.
+	SuspectFor time.Duration
+	// ForgetAfter is how long a gone member is remembered.
+	ForgetAfter time.Duration
+	// LeavingFor is how long a leaving backend server is remembered.
+	LeavingFor time.Duration
+}
+
+// Defaults of Options.
+const (
+	DefaultSuspectFor  = 4 * time.Second
+	DefaultForgetAfter = 10 * time.Minute
+	DefaultLeavingFor  = time.Hour
+)
+
+const (
+	// spreadFactor times the logarithm of the fleet's size is how often one
+	// piece of news is passed on.
+	spreadFactor = 3
+	// MaxNews bounds the members in one message, and the servers in it.
+	MaxNews = 16
+	// maxMembers and maxLeaving bound the view.
+	maxMembers = 4096
+	maxLeaving = 1 << 16
+)
+
+// View is one node's view. It is safe for concurrent use.
+type View struct {
+	options Options
+
+	mu sync.Mutex
+	// self is what the node says of itself; its Beat never falls.
+	self    Member
+	members map[netip.AddrPort]*known
+	leaving map[netip.AddrPort]*mark
+	// undisturbed is when a member last came, went or changed its state.
+	undisturbed time.Time
+}
+
+type known struct {
+	Member
+	// since is when the state was entered.
+	since time.Time
+	// spreads counts how often the state was passed on.
+	spreads int
+}
+
+type mark struct {
+	LeavingServer
+	since   time.Time
+	spreads int
+}
+
+// New returns a view that knows only self.
+func New(self Member, now time.Time, options Options) *View {
+	if options.SuspectFor <= 0 {
+		options.SuspectFor = DefaultSuspectFor
+	}
+	if options.ForgetAfter <= 0 {
+		options.ForgetAfter = DefaultForgetAfter
+	}
+	if options.LeavingFor <= 0 {
+		options.LeavingFor = DefaultLeavingFor
+	}
+	return &View{
+		options:     options,
+		self:        self,
+		members:     make(map[netip.AddrPort]*known),
+		leaving:     make(map[netip.AddrPort]*mark),
+		undisturbed: now,
+	}
+}
+
+// Self returns what the node says of itself.
+func (v *View) Self() Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.self
+}
+
+// SetLoad changes the load that the node says it has.
+func (v *View) SetLoad(load int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.self.Load = load
+}
+
+// Leave makes the node say that it is leaving. It cannot be taken back.
+func (v *View) Leave() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.self.State = StateLeaving
+	v.self.Beat++
+}
+
+// Merge takes in what a peer says of members and reports whether anything was
+// new. What is said of the node itself it refutes by a higher beat.
+func (v *View) Merge(now time.Time, members ...Member) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	news := false
+	for _, m := range members {
+		news = v.merge(now, m) || news
+	}
+	return news
+}
+
+func (v *View) merge(now time.Time, m Member) bool {
+	if m.Address == v.self.Address {
+		if m.supersedes(v.self) || m.Incarnation != v.self.Incarnation && m.Beat >= v.self.Beat {
+			v.self.Beat = m.Beat + 1
+		}
+		return false
+	}
+	old := v.members[m.Address]
+	if old == nil {
+		if m.State == StateGone || len(v.members) >= maxMembers {
+			return false
+		}
+		v.members[m.Address] = &known{Member: m, since: now}
+		v.undisturbed = now
+		return true
+	}
+	if !m.supersedes(old.Member) {
+		return false
+	}
+	sameRun := m.Incarnation == old.Incarnation
+	if sameRun && old.State == StateLeaving && m.State < StateLeaving {
+		// Leaving sticks for the incarnation, whatever is said later.
+		m.State = StateLeaving
+	}
+	changed := m.State != old.State || !sameRun
+	old.Member = m
+	if changed {
+		old.since, old.spreads = now, 0
+		v.undisturbed = now
+	}
+	return changed
+}
+
+// Heard notes a message straight from a member.
+func (v *View) Heard(now time.Time, m Member) {
+	v.Merge(now, m)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if k := v.members[m.Address]; k != nil && k.Incarnation == m.Incarnation {
+		k.Load = m.Load
+	}
+}
+
+// Suspect notes that a member did not answer, straight or by others.
+func (v *View) Suspect(now time.Time, address netip.AddrPort) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	k := v.members[address]
+	if k == nil || k.State != StateLive {
+		return
+	}
+	k.State = StateSuspect
+	k.since, k.spreads = now, 0
+	v.undisturbed = now
+}
+
+// Listed takes in the entry hosts of the host list. A host that the view lacks
+// is added as the list has it, with a beat below any of its own. That the list
+// calls an entry host leaving is not taken over: the list lags, and the mark
+// could hit the next run at the same address.
+func (v *View) Listed(now time.Time, hosts []Member) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, h := range hosts {
+		if h.Address == v.self.Address {
+			continue
+		}
+		k := v.members[h.Address]
+		if k == nil {
+			h.Beat, h.Incarnation = 0, 0
+			v.members[h.Address] = &known{Member: h, since: now}
+			v.undisturbed = now
+		}
+	}
+}
+
+// Tick moves suspects that did not refute to gone, forgets what is old, and
+// must be called about once a second.
+func (v *View) Tick(now time.Time, listed func(netip.AddrPort) bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for address, k := range v.members {
+		age := now.Sub(k.since)
+		switch {
+		case k.State == StateSuspect && age >= v.options.SuspectFor:
+			k.State = StateGone
+			k.since, k.spreads = now, 0
+			v.undisturbed = now
+		case k.State == StateLeaving && age >= v.options.ForgetAfter:
+			k.State = StateGone
+			k.since, k.spreads = now, 0
+		case k.State == StateGone && age >= v.options.ForgetAfter && !listed(address):
+			delete(v.members, address)
+		}
+	}
+	for address, m := range v.leaving {
+		if now.Sub(m.since) >= v.options.LeavingFor {
+			delete(v.leaving, address)
+		}
+	}
+}
+
+// MarkLeaving notes that a run of a backend server is leaving and reports
+// whether that was new.
+func (v *View) MarkLeaving(now time.Time, s LeavingServer) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	old := v.leaving[s.Address]
+	if old != nil && old.Instance == s.Instance {
+		return false
+	}
+	if old == nil && len(v.leaving) >= maxLeaving {
+		return false
+	}
+	v.leaving[s.Address] = &mark{LeavingServer: s, since: now}
+	return true
+}
+
+// IsLeaving reports whether that run of the backend server is known to leave.
+// An empty instance matches any.
+func (v *View) IsLeaving(address netip.AddrPort, instance string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	m := v.leaving[address]
+	return m != nil && (instance == "" || m.Instance == "" || m.Instance == instance)
+}
+
+// Members returns a copy of all members but the node itself, in order.
+func (v *View) Members() []Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	members := make([]Member, 0, len(v.members))
+	for _, k := range v.members {
+		members = append(members, k.Member)
+	}
+	slices.SortFunc(members, func(a, b Member) int { return a.Address.Compare(b.Address) })
+	return members
+}
+
+// Leaving returns the backend servers known to leave, in order.
+func (v *View) Leaving() []LeavingServer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	servers := make([]LeavingServer, 0, len(v.leaving))
+	for _, m := range v.leaving {
+		servers = append(servers, m.LeavingServer)
+	}
+	slices.SortFunc(servers, func(a, b LeavingServer) int { return a.Address.Compare(b.Address) })
+	return servers
+}
+
+// Of returns the member at address.
+func (v *View) Of(address netip.AddrPort) (Member, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if address == v.self.Address {
+		return v.self, true
+	}
+	k := v.members[address]
+	if k == nil {
+		return Member{}, false
+	}
+	return k.Member, true
+}
+
+// Undisturbed returns how long the view has not changed.
+func (v *View) Undisturbed(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return now.Sub(v.undisturbed)
+}
+
+// Disturb restarts the time that Undisturbed tells, as after a pause.
+func (v *View) Disturb(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.undisturbed = now
+}
+
+// News is what one message passes on.
+type News struct {
+	Members []Member
+	Leaving []LeavingServer
+}
+
+// News returns the node itself and at most MaxNews members and servers: what
+// has been passed on least often first, then a few at random so that views
+// that were cut off from each other meet again.
+func (v *View) News(random *rand.Rand) News {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	spreads := spreadFactor * bits.Len(uint(len(v.members)+1))
+	news := News{Members: []Member{v.self}}
+	rest := make([]*known, 0, len(v.members))
+	for _, k := range v.members {
+		rest = append(rest, k)
+	}
+	slices.SortFunc(rest, func(a, b *known) int {
+		if a.spreads != b.spreads {
+			return a.spreads - b.spreads
+		}
+		return a.Address.Compare(b.Address)
+	})
+	for _, k := range rest {
+		if k.spreads >= spreads || len(news.Members) > MaxNews {
+			break
+		}
+		k.spreads++
+		news.Members = append(news.Members, k.Member)
+	}
+	for len(rest) > 0 && len(news.Members) <= MaxNews/4 {
+		news.Members = append(news.Members, rest[random.IntN(len(rest))].Member)
+	}
+	news.Leaving = v.leavingNews(spreads, random)
+	return news
+}
+
+func (v *View) leavingNews(spreads int, random *rand.Rand) []LeavingServer {
+	all := make([]*mark, 0, len(v.leaving))
+	for _, m := range v.leaving {
+		all = append(all, m)
+	}
+	slices.SortFunc(all, func(a, b *mark) int {
+		if a.spreads != b.spreads {
+			return a.spreads - b.spreads
+		}
+		return a.Address.Compare(b.Address)
+	})
+	var news []LeavingServer
+	for _, m := range all {
+		if m.spreads >= spreads || len(news) >= MaxNews {
+			break
+		}
+		m.spreads++
+		news = append(news, m.LeavingServer)
+	}
+	if len(all) > 0 && len(news) == 0 {
+		news = append(news, all[random.IntN(len(all))].LeavingServer)
+	}
+	return news
+}
--- /dev/null
+++ b/internal/memnet/link.go
@@ -0,0 +1,123 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package memnet
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// link joins two pipes and carries data between them, late or held back as the
+// network says.
+type link struct {
+	network  *Network
+	from, to netip.Addr
+	ends     [4]net.Conn
+	stop     chan struct{}
+	once     sync.Once
+}
+
+// conn is an end of a link as its user sees it.
+type conn struct {
+	net.Conn
+	local, remote netip.AddrPort
+}
+
+// LocalAddr returns the end's own address.
+func (c conn) LocalAddr() net.Addr { return net.TCPAddrFromAddrPort(c.local) }
+
+// RemoteAddr returns the other end's address.
+func (c conn) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(c.remote) }
+
+func (n *Network) newLink(from, to netip.AddrPort) (near, far net.Conn, l *link) {
+	nearOuter, nearInner := net.Pipe()
+	farOuter, farInner := net.Pipe()
+	l = &link{
+		network: n,
+		from:    from.Addr(),
+		to:      to.Addr(),
+		ends:    [4]net.Conn{nearOuter, nearInner, farOuter, farInner},
+		stop:    make(chan struct{}),
+	}
+	n.mu.Lock()
+	n.links[l] = true
+	n.mu.Unlock()
+	go l.carry(nearInner, farInner, l.from, l.to)
+	go l.carry(farInner, nearInner, l.to, l.from)
+	return conn{nearOuter, from, to}, conn{farOuter, to, from}, l
+}
+
+// Close resets the link.
+func (l *link) Close() error {
+	l.once.Do(func() {
+		close(l.stop)
+		l.network.mu.Lock()
+		delete(l.network.links, l)
+		l.network.mu.Unlock()
+		for _, c := range l.ends {
+			_ = c.Close()
+		}
+	})
+	return nil
+}
+
+type packet struct {
+	data []byte
+	due  time.Time
+}
+
+const (
+	packetSize = 16 << 10
+	inFlight   = 256
+)
+
+// carry moves data one way until either end closes.
+func (l *link) carry(in, out net.Conn, from, to netip.Addr) {
+	packets := make(chan packet, inFlight)
+	go l.deliver(packets, out, from, to)
+	defer close(packets)
+	buffer := make([]byte, packetSize)
+	for {
+		count, err := in.Read(buffer)
+		if count > 0 {
+			p := packet{data: append([]byte(nil), buffer[:count]...), due: time.Now().Add(l.network.latency(from, to))}
+			select {
+			case packets <- p:
+			case <-l.stop:
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (l *link) deliver(packets <-chan packet, out net.Conn, from, to netip.Addr) {
+	defer func() {
+		// The end of the data reaches the other side after the data.
+		if l.network.wait(from, to, l.stop) {
+			_ = l.Close()
+		}
+	}()
+	for p := range packets {
+		if d := time.Until(p.due); d > 0 {
+			timer := time.NewTimer(d)
+			select {
+			case <-timer.C:
+			case <-l.stop:
+				timer.Stop()
+				return
+			}
+		}
+		if !l.network.wait(from, to, l.stop) {
+			return
+		}
+		if _, err := out.Write(p.data); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/execute.go
@@ -0,0 +1,348 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wingvale/wingvale/internal/backend"
+	"github.com/wingvale/wingvale/internal/dispatch"
+	"github.com/wingvale/wingvale/internal/queue"
+	"github.com/wingvale/wingvale/internal/table"
+	"github.com/wingvale/wingvale/pipeline"
+	"github.com/wingvale/wingvale/request"
+	"github.com/wingvale/wingvale/verdict"
+)
+
+const (
+	// maxSends bounds the sends of one stage.
+	maxSends = 4
+	// sendsPerAttempt keeps the send numbers of two attempts apart.
+	sendsPerAttempt = 1000
+)
+
+// job is one request on its way through its stages.
+type job struct {
+	*plan
+	run *table.Run
+	// previous is the result of the last stage that finished.
+	previous json.RawMessage
+	// finished names that stage.
+	finished string
+	// sent says that a byte of some call may have reached a backend server.
+	// It never goes back to false.
+	sent bool
+	// sends numbers the calls.
+	sends  int
+	costs  []request.StageCost
+	settle []func()
+	digest request.Digest
+	// tookUp says that the checkpoint's stream was tried.
+	tookUp bool
+}
+
+// start runs an admitted request in the background.
+func (n *Node) start(run *table.Run, p *plan) {
+	j := &job{plan: p, run: run, settle: p.commit(), digest: request.NewDigest()}
+	attempt := 1
+	if c := p.spec.Resume; c != nil {
+		attempt = c.Attempt + 1
+		j.sent = true
+		j.previous, j.finished = c.Result, c.Finished
+	}
+	j.sends = (attempt - 1) * sendsPerAttempt
+	run.Accept(request.Accepted{
+		ID:         run.ID,
+		Node:       n.settings.Caller,
+		Attempt:    attempt,
+		Deadline:   pipeline.Duration(time.Until(p.deadline)),
+		Repeatable: !p.unrepeatable,
+	})
+	n.running.Add(1)
+	n.scope.Counter("accepted").Inc(1)
+	n.runs.Go(func() {
+		defer n.running.Add(-1)
+		n.execute(run.Context(), j)
+	})
+}
+
+// execute is the path of an admitted request: each stage in turn, then the
+// end of the answer.
+func (n *Node) execute(ctx context.Context, j *job) {
+	ctx, cancel := context.WithDeadlineCause(ctx, j.deadline, errDeadline)
+	defer cancel()
+	defer func() {
+		for _, settle := range j.settle {
+			settle()
+		}
+	}()
+	for i := j.start; i < len(j.steps); i++ {
+		s := &j.steps[i]
+		j.run.Stage(s.Name)
+		result, err := n.stage(ctx, j, s, i == len(j.steps)-1)
+		j.settle[i]()
+		if err != nil {
+			n.fail(ctx, j, s, err)
+			return
+		}
+		j.previous, j.finished = result, s.Name
+		j.checkpoint(nil)
+	}
+	n.finish(j)
+}
+
+var errDeadline = errors.New("node: the deadline has passed")
+
+// stage runs one stage, on as many servers as its rules and the time allow.
+func (n *Node) stage(ctx context.Context, j *job, s *step, last bool) (json.RawMessage, error) {
+	if s.Share > 0 {
+		var cancel context.CancelFunc
+		limit := time.Duration(s.Share * float64(j.deadline.Sub(j.begin)))
+		ctx, cancel = context.WithTimeoutCause(ctx, limit, errDeadline)
+		defer cancel()
+	}
+	cost := request.StageCost{Stage: s.Name}
+	defer func() { j.costs = append(j.costs, cost) }()
+	n.budget.First()
+	var avoid netip.AddrPort
+	for {
+		g, err := s.pool.Acquire(ctx, n.task(ctx, j, s, avoid))
+		if err != nil {
+			return nil, j.sentBefore(err)
+		}
+		j.settleStep(s)
+		begin := time.Now()
+		cost.Attempts++
+		cost.Server = g.Server
+		cost.Wait += pipeline.Duration(g.Waited)
+		result, err := n.send(ctx, j, s, g, last)
+		cost.Work += pipeline.Duration(time.Since(begin))
+		if err == nil {
+			return result, nil
+		}
+		if !n.mayRetry(ctx, j, err, cost.Attempts) {
+			return nil, j.sentBefore(err)
+		}
+		n.scope.Counter("retries").Inc(1)
+		avoid = g.Server
+	}
+}
+
+// settleStep takes the stage's part of the committed work back: it has begun.
+func (j *job) settleStep(s *step) {
+	for i := range j.steps {
+		if &j.steps[i] == s {
+			j.settle[i]()
+		}
+	}
+}
+
+// sentBefore makes a NotRun of this stage Unknown for the request if anything
+// of the request was sent before.
+func (j *job) sentBefore(err error) error {
+	if j.sent {
+		return verdict.AfterSend(err)
+	}
+	return err
+}
+
+func (n *Node) task(ctx context.Context, j *job, s *step, avoid netip.AddrPort) dispatch.Task {
+	latest := j.deadline
+	if limit, ok := ctx.Deadline(); ok && limit.Before(latest) {
+		latest = limit
+	}
+	return dispatch.Task{
+		Item: queue.Item{
+			Workspace:  j.workspace.Name,
+			Weight:     j.workspace.Weight,
+			Latest:     latest.Add(-s.rest),
+			Cost:       s.expected.Mean,
+			Background: j.background(),
+		},
+		Model:  s.Model,
+		Prefix: j.prefix(s),
+		Avoid:  avoid,
+	}
+}
+
+// mayRetry reports whether a failed call may be sent again: where it did not
+// run, or the request is repeatable, and there is time and budget.
+func (n *Node) mayRetry(ctx context.Context, j *job, err error, sends int) bool {
+	if ctx.Err() != nil || sends >= maxSends {
+		return false
+	}
+	e := verdict.As(err)
+	if e.Verdict != verdict.NotRun && j.unrepeatable {
+		return false
+	}
+	if e.Reason == verdict.ReasonTooLarge || e.Reason == verdict.ReasonSuperseded {
+		return false
+	}
+	if !n.budget.Retry() {
+		n.scope.Counter("retries_denied").Inc(1)
+		return false
+	}
+	return true
+}
+
+// send makes one call and tells the pool how it went.
+func (n *Node) send(ctx context.Context, j *job, s *step, g *dispatch.Grant, last bool) (json.RawMessage, error) {
+	j.sends++
+	call := backend.Call{Server: g.Server, Request: j.run.ID, Stage: s.Name, Attempt: j.sends, Deadline: j.deadline}
+	begin := time.Now()
+	var result json.RawMessage
+	var report backend.Report
+	var err error
+	if s.Kind == pipeline.KindEngine {
+		result, report, err = n.generate(ctx, j, s, call, last)
+	} else {
+		result, report, err = n.callStage(ctx, j, s, call, last)
+	}
+	if verdict.Of(err) != verdict.NotRun {
+		j.sent = true
+	}
+	n.learn(ctx, s, g, report, time.Since(begin), err)
+	return result, err
+}
+
+// learn tells the pool and the estimates how a call went.
+func (n *Node) learn(ctx context.Context, s *step, g *dispatch.Grant, report backend.Report, work time.Duration, err error) {
+	o := dispatch.Outcome{Work: work, Expected: s.expected.Mean, Load: report.Load, Known: report.Known}
+	switch {
+	case err == nil:
+		n.estimates.Add(s.kind, work)
+	case ctx.Err() != nil:
+		o.Ignored = true
+	case verdict.As(err).Reason == verdict.ReasonRefused:
+		o.Refused = true
+	default:
+		o.Failed = true
+	}
+	g.Done(o)
+	if report.Known && report.Load.Leaving {
+		n.noteLeaving(g.Server, report.Load.Instance)
+	}
+	tags := map[string]string{"stage": s.Name, "pool": s.Pool, "verdict": verdict.Of(err).String()}
+	n.scope.Tagged(tags).Timer("stage").Record(work)
+}
+
+const (
+	// slowest is how far beyond its likely time a call to a pool may take
+	// before another server is tried; it needs some samples first.
+	slowest       = 4
+	leastSamples  = 10
+	leastPatience = 50 * time.Millisecond
+)
+
+// patience bounds one call of a repeatable stage, so that a server that hangs
+// costs one try and not the request.
+func patience(j *job, s *step) time.Duration {
+	if j.unrepeatable || j.background() || s.expected.Samples < leastSamples {
+		return time.Until(j.deadline)
+	}
+	return max(slowest*(s.expected.Mean+2*s.expected.Spread), leastPatience)
+}
+
+func (n *Node) callStage(ctx context.Context, j *job, s *step, call backend.Call, last bool) (json.RawMessage, backend.Report, error) {
+	tryCtx, cancel := context.WithTimeout(ctx, patience(j, s))
+	defer cancel()
+	body := backend.StageCall{Workspace: j.workspace.Name, Input: j.spec.Input, Previous: j.previous, Unrepeatable: j.unrepeatable}
+	result, report, err := n.backends.Stage(tryCtx, call, body)
+	if err == nil && last && !n.chunk(j, string(result)) {
+		return nil, report, errAnswerTooLarge()
+	}
+	return result, report, err
+}
+
+func errAnswerTooLarge() error {
+	return verdict.New(verdict.Unknown, verdict.ReasonTooLarge, "node: the answer has more than %d bytes", request.MaxAnswerBytes)
+}
+
+// chunk adds text to the caller's answer.
+func (n *Node) chunk(j *job, text string) bool {
+	j.digest.Add(text)
+	return j.run.Chunk(text)
+}
+
+// checkpoint hands the caller what another node needs to go on.
+func (j *job) checkpoint(stream *request.StreamRef) {
+	if j.unrepeatable || len(j.previous) > request.MaxCheckpointBytes {
+		return
+	}
+	j.run.Checkpoint(request.Checkpoint{
+		Attempt:  j.run.Attempt(),
+		Finished: j.finished,
+		Result:   j.previous,
+		Stream:   stream,
+	})
+}
+
+func (n *Node) finish(j *job) {
+	done := request.Done{
+		ID:      j.run.ID,
+		Attempt: j.run.Attempt(),
+		Chunks:  j.run.Chunks(),
+		Digest:  j.digest.Sum(),
+		Costs:   j.costs,
+	}
+	j.run.End(time.Now(), request.Event{Type: request.EventDone, Done: &done})
+	n.table.Ended(j.run)
+	n.scope.Counter("answered").Inc(1)
+	n.scope.Timer("request").Record(time.Since(j.begin))
+}
+
+// fail ends the request without an answer, at once and with the truth about
+// what ran.
+func (n *Node) fail(ctx context.Context, j *job, s *step, err error) {
+	if cause := context.Cause(ctx); cause != nil {
+		err = endedBy(cause, j.sent)
+	}
+	failed := request.FailedOf(err)
+	failed.Costs = j.costs
+	n.log.WithFields(logrus.Fields{
+		"request":   j.run.ID.String(),
+		"workspace": j.workspace.Name,
+		"stage":     s.Name,
+		"verdict":   failed.Verdict.String(),
+		"reason":    failed.Reason,
+	}).Info("a request failed: ", failed.Message)
+	n.endRun(j.run, failed)
+	n.scope.Tagged(map[string]string{"verdict": failed.Verdict.String(), "reason": string(failed.Reason)}).Counter("failed").Inc(1)
+	if failed.Verdict == verdict.NotRun || failed.Reason == verdict.ReasonLeaving {
+		// The same id may start here again, or at another node.
+		n.table.Forget(j.run)
+		return
+	}
+	n.table.Ended(j.run)
+}
+
+// endedBy is the error of a request whose context has ended.
+func endedBy(cause error, sent bool) error {
+	v := verdict.NotRun
+	if sent {
+		v = verdict.Unknown
+	}
+	switch {
+	case errors.Is(cause, errDeadline):
+		return verdict.New(v, verdict.ReasonDeadline, "%w", cause)
+	case errors.Is(cause, errMoved):
+		return verdict.New(v, verdict.ReasonLeaving, "%w", cause)
+	default:
+		return verdict.New(v, verdict.ReasonCancelled, "%w", cause)
+	}
+}
+
+func (n *Node) endRun(run *table.Run, failed request.Failed) {
+	if failed.Reason == verdict.ReasonLeaving && failed.Addresses == nil {
+		a := n.addresses("", 0)
+		failed.Addresses = &a
+	}
+	run.End(time.Now(), request.Event{Type: request.EventFailed, Failed: &failed})
+}
--- /dev/null
+++ b/internal/node/forward.go
@@ -0,0 +1,192 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/wingvale/wingvale/internal/table"
+	"github.com/wingvale/wingvale/internal/wire"
+	"github.com/wingvale/wingvale/request"
+	"github.com/wingvale/wingvale/verdict"
+)
+
+// submit decides who runs a request. It returns the run where that is here,
+// and neither run nor error where the issuer's answer has been passed on.
+func (n *Node) submit(r *http.Request, w http.ResponseWriter, id request.ID, spec request.Spec) (*table.Run, error) {
+	if id.IsZero() {
+		return n.submitNew(spec)
+	}
+	if n.table.Issued(id) {
+		run, fresh, err := n.table.Begin(n.runCtx, id, spec)
+		return n.begun(run, fresh, err, spec)
+	}
+	if run, err := n.table.Find(id); err == nil {
+		return run, nil
+	}
+	err := n.forward(w, r, id, &spec)
+	if err == nil || !mayAdopt(spec, err) {
+		return nil, err
+	}
+	if _, planErr := n.repeatablePlan(spec); planErr != nil {
+		return nil, verdict.AfterSend(planErr)
+	}
+	n.scope.Counter("adopted").Inc(1)
+	run, fresh, err := n.table.Adopt(n.runCtx, id, spec)
+	return n.begun(run, fresh, err, spec)
+}
+
+// mayAdopt reports whether a request whose issuer cannot be asked may run here
+// instead.
+func mayAdopt(spec request.Spec, err error) bool {
+	if spec.Unrepeatable {
+		return false
+	}
+	switch verdict.As(err).Reason {
+	case verdict.ReasonIssuerGone, verdict.ReasonIssuerUnreachable, verdict.ReasonLeaving, verdict.ReasonNotReady:
+		return true
+	default:
+		return false
+	}
+}
+
+// repeatablePlan returns the plan of a request that may run more than once.
+func (n *Node) repeatablePlan(spec request.Spec) (*plan, error) {
+	p, err := n.newPlan(spec)
+	if err != nil {
+		return nil, err
+	}
+	if p.unrepeatable {
+		return nil, verdict.New(verdict.Unknown, verdict.ReasonIssuerUnreachable, "node: only the issuer of its id may run an unrepeatable request")
+	}
+	return p, nil
+}
+
+func (n *Node) submitNew(spec request.Spec) (*table.Run, error) {
+	p, err := n.newPlan(spec)
+	if err != nil {
+		return nil, err
+	}
+	if p.unrepeatable {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNeedID, "node: an unrepeatable request needs an issued id")
+	}
+	run, fresh, err := n.table.Begin(n.runCtx, n.table.Issue(1)[0], spec)
+	return n.begun(run, fresh, err, spec)
+}
+
+// begun admits a fresh run and starts it, or returns the one that there is.
+func (n *Node) begun(run *table.Run, fresh bool, err error, spec request.Spec) (*table.Run, error) {
+	if err != nil || !fresh {
+		return run, err
+	}
+	p, err := n.admitRun(spec)
+	if err != nil {
+		n.endRun(run, request.FailedOf(err))
+		n.table.Forget(run)
+		return nil, err
+	}
+	n.start(run, p)
+	return run, nil
+}
+
+func (n *Node) admitRun(spec request.Spec) (*plan, error) {
+	if err := n.mayAdmit(); err != nil {
+		return nil, err
+	}
+	if int(n.running.Load()) >= n.settings.MaxRunning {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonOverload, "node: %d requests run already", n.settings.MaxRunning).After(n.jitter(minRetryAfter))
+	}
+	p, err := n.newPlan(spec)
+	if err != nil {
+		return nil, err
+	}
+	return p, n.admit(p)
+}
+
+// forward passes a call to the node that issued id and copies its answer to
+// the caller. An error means that the caller has been told nothing yet.
+func (n *Node) forward(w http.ResponseWriter, r *http.Request, id request.ID, spec *request.Spec) error {
+	if id.Issuer == n.settings.Caller {
+		return verdict.New(verdict.Unknown, verdict.ReasonIssuerGone, "node: the issuer of %s has been replaced", id)
+	}
+	if r.Header.Get(HeaderForwarded) != "" {
+		return verdict.New(verdict.Unknown, verdict.ReasonIssuerGone, "node: this is not the issuer of %s", id)
+	}
+	if _, known := n.view.Of(id.Issuer); !known {
+		// An address that no list and no peer has named is not connected to:
+		// ids come from callers.
+		return verdict.New(verdict.Unknown, verdict.ReasonIssuerGone, "node: the issuer of %s is not known", id)
+	}
+	response, err := n.passOn(r, id, spec)
+	if err != nil {
+		return verdict.New(verdict.Unknown, verdict.ReasonIssuerUnreachable, "node: the issuer of %s does not answer: %w", id, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return forwardedRefusal(response)
+	}
+	n.scope.Counter("forwarded").Inc(1)
+	copyStream(w, response)
+	return nil
+}
+
+func (n *Node) passOn(r *http.Request, id request.ID, spec *request.Spec) (*http.Response, error) {
+	body := []byte(nil)
+	if spec != nil {
+		body, _ = json.Marshal(spec)
+	}
+	url := "http://" + id.Issuer.String() + r.URL.RequestURI()
+	out, err := http.NewRequestWithContext(r.Context(), r.Method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	out.Header.Set(HeaderForwarded, n.settings.Caller.String())
+	out.Header.Set(HeaderID, id.String())
+	out.Header.Set(HeaderRevision, strconv.FormatUint(n.configuration.Summary().Revision, 10))
+	out.Header.Set(wire.ContentType, wire.TypeJSON)
+	return n.forwards.Do(out)
+}
+
+const refusalLimit = 64 << 10
+
+// forwardedRefusal turns the issuer's refusal back into an error.
+func forwardedRefusal(response *http.Response) error {
+	failed, err := wire.ReadLoose[request.Failed](response.Body, refusalLimit)
+	if err != nil {
+		return verdict.New(verdict.Unknown, verdict.ReasonIssuerUnreachable, "node: the issuer's refusal: %w", err)
+	}
+	return failed.Err()
+}
+
+const copyBuffer = 16 << 10
+
+// copyStream passes bytes on as they come. Where the issuer breaks off, so
+// does the caller's stream, which the caller sees by the missing end.
+func copyStream(w http.ResponseWriter, response *http.Response) {
+	control := http.NewResponseController(w)
+	w.Header().Set(wire.ContentType, response.Header.Get(wire.ContentType))
+	w.WriteHeader(http.StatusOK)
+	buffer := make([]byte, copyBuffer)
+	for {
+		count, err := response.Body.Read(buffer)
+		if count > 0 {
+			if _, err := w.Write(buffer[:count]); err != nil {
+				return
+			}
+			if control.Flush() != nil {
+				return
+			}
+		}
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,358 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wingvale/wingvale/internal/backend"
+	"github.com/wingvale/wingvale/internal/budget"
+	"github.com/wingvale/wingvale/internal/choose"
+	"github.com/wingvale/wingvale/internal/estimate"
+	"github.com/wingvale/wingvale/internal/fleet"
+	"github.com/wingvale/wingvale/internal/limit"
+	"github.com/wingvale/wingvale/internal/peer"
+	"github.com/wingvale/wingvale/internal/peer/peerpb"
+	"github.com/wingvale/wingvale/internal/platform"
+	"github.com/wingvale/wingvale/internal/published"
+	"github.com/wingvale/wingvale/internal/queue"
+	"github.com/wingvale/wingvale/internal/settings"
+	"github.com/wingvale/wingvale/internal/table"
+	"github.com/wingvale/wingvale/pipeline"
+)
+
+// Policy selects how a node decides. The zero value is ours; the baselines are
+// there to be measured against.
+type Policy struct {
+	Choose choose.Policy
+	Queue  queue.Policy
+	Limit  limit.Options
+	// AdmitAll turns admission off.
+	AdmitAll bool
+}
+
+// Options are a Node's dependencies. Settings, Log, Scope, Dial and the two
+// listeners are needed.
+type Options struct {
+	Settings settings.Settings
+	Log      logrus.FieldLogger
+	Scope    tally.Scope
+	Dial     backend.Dial
+	// CallerListener and PeerListener are closed by the node.
+	CallerListener net.Listener
+	PeerListener   net.Listener
+	// Metrics serves what is scraped; nil serves nothing.
+	Metrics http.Handler
+	Seed    uint64
+	Policy  Policy
+	// Table bounds the request table.
+	Table table.Options
+	// BeforeTick is called before each upkeep; tests hold a node still by it.
+	BeforeTick func()
+}
+
+// Node is one entry host. Run must be called once.
+type Node struct {
+	options  Options
+	settings settings.Settings
+	log      logrus.FieldLogger
+	scope    tally.Scope
+
+	configuration *published.Store[pipeline.Value]
+	hosts         *published.Store[published.Host]
+	view          *fleet.View
+	gossip        *peer.Gossip
+	platform      *platform.Client
+	watchers      []*platform.Watcher
+	backends      *backend.Client
+	peers         *http.Client
+	forwards      *http.Client
+	table         *table.Table
+	pools         *pools
+	estimates     *estimate.Table
+	budget        *budget.Budget
+	placer        *placer
+	ready         *readiness
+	runs          sync.WaitGroup
+	runCtx        context.Context
+	endRuns       context.CancelFunc
+	leaving       atomic.Bool
+	refusing      atomic.Bool
+	running       atomic.Int64
+
+	mu     sync.Mutex
+	random *rand.Rand
+	// caughtUp is when the last catch-up began.
+	caughtUp time.Time
+
+	stop chan struct{}
+	done chan struct{}
+}
+
+// New returns a node that has not started.
+func New(o Options) *Node {
+	now := time.Now()
+	s := o.Settings
+	random := rand.New(rand.NewPCG(o.Seed, uint64(s.Caller.Port())))
+	runCtx, endRuns := context.WithCancel(context.Background())
+	n := &Node{
+		options:       o,
+		settings:      s,
+		log:           o.Log.WithField("node", s.Caller.String()),
+		scope:         o.Scope,
+		configuration: published.New(pipeline.Decode),
+		hosts:         published.New(published.DecodeHost),
+		platform:      platform.New(s.Platform, o.Dial),
+		backends:      backend.New(o.Dial),
+		peers:         newHTTPClient(o.Dial),
+		forwards:      newHTTPClient(o.Dial),
+		table:         table.New(s.Caller, o.Table),
+		estimates:     estimate.New(),
+		budget:        budget.New(),
+		runCtx:        runCtx,
+		endRuns:       endRuns,
+		random:        random,
+		stop:          make(chan struct{}),
+		done:          make(chan struct{}),
+	}
+	n.view = fleet.New(fleet.Member{
+		Address:     s.Caller,
+		Peer:        s.Peer,
+		Zone:        s.Zone,
+		Incarnation: n.table.Incarnation(),
+		Beat:        uint64(now.UnixMilli()),
+	}, now, fleet.Options{})
+	n.gossip = peer.New(peer.Options{
+		View:     n.view,
+		Spaces:   peer.Spaces{peerpb.Space_SPACE_CONFIGURATION: n.configuration, peerpb.Space_SPACE_HOSTS: n.hosts},
+		HTTP:     n.peers,
+		Log:      n.log,
+		Scope:    n.scope.SubScope("peer"),
+		Random:   n.childRandom(),
+		Listed:   n.listed,
+		Accepted: n.acceptedByPeer,
+	})
+	n.watchers = []*platform.Watcher{
+		n.newWatcher(platform.SpaceConfiguration, peerpb.Space_SPACE_CONFIGURATION, n.configuration),
+		n.newWatcher(platform.SpaceHosts, peerpb.Space_SPACE_HOSTS, n.hosts),
+	}
+	n.pools = newPools(n)
+	n.placer = newPlacer(n)
+	n.ready = newReadiness(n)
+	return n
+}
+
+func newHTTPClient(dial backend.Dial) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				ctx, cancel := context.WithTimeout(ctx, time.Second)
+				defer cancel()
+				return dial(ctx, network, address)
+			},
+			MaxIdleConnsPerHost: 8,
+			IdleConnTimeout:     30 * time.Second,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+func (n *Node) childRandom() *rand.Rand {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return rand.New(rand.NewPCG(n.random.Uint64(), n.random.Uint64()))
+}
+
+func (n *Node) newWatcher(space platform.Space, id peerpb.Space, store platform.Store) *platform.Watcher {
+	return platform.NewWatcher(platform.WatcherOptions{
+		Client: n.platform,
+		Space:  space,
+		Store:  store,
+		Must:   func() bool { return n.mustWatch(space) },
+		Accepted: func(entries []published.Entry) {
+			n.noteAccepted(id, entries)
+			n.gossip.Spread(id, entries)
+		},
+		Log:    n.log,
+		Random: n.childRandom(),
+	})
+}
+
+// Done is closed when Run has returned.
+func (n *Node) Done() <-chan struct{} {
+	return n.done
+}
+
+// Stop begins a planned stop. It returns at once; Done tells the end.
+func (n *Node) Stop() {
+	if n.leaving.CompareAndSwap(false, true) {
+		close(n.stop)
+	}
+}
+
+const serveHeaderTimeout = 5 * time.Second
+
+// Run serves until ctx ends, which cuts everything off, or until a planned
+// stop has finished.
+func (n *Node) Run(ctx context.Context) error {
+	defer close(n.done)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	peerServer := newServer(n.operatorHandler())
+	callerServer := newServer(n.callerHandler())
+	failed := make(chan error, 2)
+	var servers sync.WaitGroup
+	serve := func(s *http.Server, l net.Listener) {
+		servers.Go(func() {
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		})
+	}
+	serve(peerServer, n.options.PeerListener)
+	serve(callerServer, &boundedListener{Listener: n.options.CallerListener, slots: make(chan struct{}, n.settings.MaxCallers)})
+
+	partsCtx, stopParts := context.WithCancel(ctx)
+	defer stopParts()
+	var parts sync.WaitGroup
+	n.startParts(partsCtx, &parts)
+
+	var err error
+	select {
+	case <-ctx.Done():
+		err = ctx.Err()
+	case err = <-failed:
+	case <-n.stop:
+		n.drain(ctx)
+	}
+	// The order matters: no new callers, then no runs, then the parts that
+	// runs need, and last the connections to others.
+	closeServer(ctx, callerServer)
+	n.endRuns()
+	n.runs.Wait()
+	stopParts()
+	parts.Wait()
+	closeServer(ctx, peerServer)
+	servers.Wait()
+	n.platform.Close()
+	n.backends.Close()
+	n.peers.CloseIdleConnections()
+	n.forwards.CloseIdleConnections()
+	return err
+}
+
+func (n *Node) startParts(ctx context.Context, parts *sync.WaitGroup) {
+	for _, w := range n.watchers {
+		parts.Go(func() { w.Run(ctx) })
+	}
+	parts.Go(func() { n.gossip.Run(ctx) })
+	parts.Go(func() { n.ready.run(ctx) })
+	parts.Go(func() { n.pools.run(ctx) })
+	parts.Go(func() { n.placer.run(ctx) })
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: serveHeaderTimeout,
+		IdleTimeout:       time.Minute,
+		MaxHeaderBytes:    16 << 10,
+		ErrorLog:          nil,
+	}
+}
+
+const closeTimeout = time.Second
+
+func closeServer(ctx context.Context, s *http.Server) {
+	if ctx.Err() == nil {
+		ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+		defer cancel()
+		_ = s.Shutdown(ctx)
+	}
+	_ = s.Close()
+}
+
+// boundedListener accepts no more connections than it has slots.
+type boundedListener struct {
+	net.Listener
+	slots chan struct{}
+}
+
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.slots <- struct{}{}:
+			return &boundedConn{Conn: conn, free: sync.OnceFunc(func() { <-l.slots })}, nil
+		default:
+			_ = conn.Close()
+		}
+	}
+}
+
+type boundedConn struct {
+	net.Conn
+	free func()
+}
+
+func (c *boundedConn) Close() error {
+	defer c.free()
+	return c.Conn.Close()
+}
+
+// listed reports whether the host list has an entry host at address.
+func (n *Node) listed(address netip.AddrPort) bool {
+	h, ok := n.hosts.Get(address.String())
+	return ok && h.Role == published.RoleEntry
+}
+
+func (n *Node) acceptedByPeer(space peerpb.Space, entries []published.Entry) {
+	n.noteAccepted(space, entries)
+}
+
+// noteAccepted lets the parts know of values that came into force.
+func (n *Node) noteAccepted(space peerpb.Space, entries []published.Entry) {
+	for _, e := range entries {
+		n.log.WithFields(logrus.Fields{"key": e.Key, "revision": e.Revision, "removed": e.Removed}).Debug("a value is in force")
+	}
+	n.scope.Counter("values_accepted").Inc(int64(len(entries)))
+	if space == peerpb.Space_SPACE_HOSTS {
+		n.takeHosts()
+	}
+}
+
+// takeHosts brings the view and the pools in line with the host list.
+func (n *Node) takeHosts() {
+	var members []fleet.Member
+	for _, h := range n.hosts.Values() {
+		if h.Role == published.RoleEntry {
+			members = append(members, fleet.Member{Address: h.Address, Peer: h.Peer, Zone: h.Zone})
+		}
+	}
+	n.view.Listed(time.Now(), members)
+	n.pools.refresh()
+}
+
+var _ io.Closer = (*boundedConn)(nil)
+
+// Leaving reports whether a planned stop has begun.
+func (n *Node) Leaving() bool {
+	return n.leaving.Load()
+}
--- /dev/null
+++ b/internal/node/pools.go
@@ -0,0 +1,299 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package node
+
+import (
+	"context"
+	"maps"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wingvale/wingvale/internal/backend"
+	"github.com/wingvale/wingvale/internal/dispatch"
+	"github.com/wingvale/wingvale/internal/fleet"
+	"github.com/wingvale/wingvale/internal/owner"
+	"github.com/wingvale/wingvale/internal/published"
+)
+
+const (
+	// pollEvery is how often one backend server is asked for its load, if no
+	// answer has brought a report since.
+	pollEvery = time.Second
+	pollFor   = 500 * time.Millisecond
+	// pollsAtOnce bounds the questions of one tick.
+	pollsAtOnce = 8
+)
+
+// pools has the dispatch pools of one node, made as the host list names them.
+type pools struct {
+	node *Node
+
+	mu     sync.Mutex
+	byName map[string]*dispatch.Pool
+	// servers has the host of each backend server in use.
+	servers map[netip.AddrPort]published.Host
+	// order has the servers to ask for their load, in turn.
+	order []netip.AddrPort
+	// states has what engines last said in full.
+	states map[netip.AddrPort]engineState
+}
+
+type engineState struct {
+	backend.EngineState
+	at time.Time
+}
+
+func newPools(n *Node) *pools {
+	return &pools{
+		node:    n,
+		byName:  make(map[string]*dispatch.Pool),
+		servers: make(map[netip.AddrPort]published.Host),
+		states:  make(map[netip.AddrPort]engineState),
+	}
+}
+
+// of returns the pool of a name, or nil where the host list has none.
+func (p *pools) of(name string) *dispatch.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byName[name]
+}
+
+// host returns the backend server at address, if the node uses it.
+func (p *pools) host(address netip.AddrPort) (published.Host, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h, ok := p.servers[address]
+	return h, ok
+}
+
+// hosts returns the backend servers that the node uses.
+func (p *pools) hosts() map[netip.AddrPort]published.Host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.servers)
+}
+
+// refresh brings the pools in line with the host list and the fleet view.
+func (p *pools) refresh() {
+	n := p.node
+	byPool := make(map[string][]published.Host)
+	for _, h := range n.hosts.Values() {
+		if h.Role != published.RoleEntry {
+			byPool[h.Pool] = append(byPool[h.Pool], h)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.servers = make(map[netip.AddrPort]published.Host)
+	p.order = p.order[:0]
+	for name, hosts := range byPool {
+		p.refreshPool(name, p.subset(hosts))
+	}
+	for name, pool := range p.byName {
+		if byPool[name] == nil {
+			pool.SetServers(nil)
+		}
+	}
+	for address := range p.states {
+		if _, ok := p.servers[address]; !ok {
+			delete(p.states, address)
+		}
+	}
+}
+
+func (p *pools) refreshPool(name string, hosts []published.Host) {
+	pool := p.byName[name]
+	if pool == nil {
+		pool = dispatch.New(p.options(name))
+		p.byName[name] = pool
+	}
+	servers := make([]dispatch.Server, 0, len(hosts))
+	for _, h := range hosts {
+		p.servers[h.Address] = h
+		p.order = append(p.order, h.Address)
+		instance := h.Instance
+		if s := p.states[h.Address]; s.Instance != "" {
+			instance = s.Instance
+		}
+		servers = append(servers, dispatch.Server{
+			Address:  h.Address,
+			Zone:     h.Zone,
+			Instance: instance,
+			Leaving:  h.Leaving || p.node.view.IsLeaving(h.Address, instance),
+		})
+	}
+	pool.SetServers(servers)
+}
+
+func (p *pools) options(name string) dispatch.Options {
+	policy := p.node.options.Policy
+	return dispatch.Options{
+		Zone:   p.node.settings.Zone,
+		Choose: policy.Choose,
+		Queue:  policy.Queue,
+		Limit:  policy.Limit,
+		Seed:   p.node.options.Seed ^ xxhash.Sum64String(name),
+	}
+}
+
+// subset returns the servers of one pool that this node uses: all of a small
+// pool, and of a large one those for which its address scores highest, so that
+// a server that comes or goes changes few nodes.
+func (p *pools) subset(hosts []published.Host) []published.Host {
+	slices.SortFunc(hosts, func(a, b published.Host) int { return a.Address.Compare(b.Address) })
+	count := p.node.settings.Subset
+	if len(hosts) <= count {
+		return hosts
+	}
+	byAddress := make(map[netip.AddrPort]published.Host, len(hosts))
+	addresses := make([]netip.AddrPort, 0, len(hosts))
+	for _, h := range hosts {
+		byAddress[h.Address] = h
+		addresses = append(addresses, h.Address)
+	}
+	subset := make([]published.Host, 0, count)
+	for _, a := range owner.Top(addresses, p.node.settings.Caller.String(), count) {
+		subset = append(subset, byAddress[a])
+	}
+	return subset
+}
+
+// run keeps the pools up to date until ctx ends.
+func (p *pools) run(ctx context.Context) {
+	var polling sync.WaitGroup
+	polling.Go(func() { every(ctx, tickEvery, func() { p.poll(ctx) }) })
+	leaving := 0
+	every(ctx, tickEvery, func() {
+		if now := len(p.node.view.Leaving()); now != leaving {
+			leaving = now
+			p.refresh()
+		}
+		p.tick()
+	})
+	polling.Wait()
+}
+
+// every calls do once an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
+
+func (p *pools) tick() {
+	for _, pool := range p.all() {
+		pool.Tick(time.Now())
+	}
+}
+
+// poll asks the next few servers that have not been heard for a while.
+func (p *pools) poll(ctx context.Context) {
+	var asked sync.WaitGroup
+	for _, h := range p.due(time.Now()) {
+		asked.Go(func() { p.ask(ctx, h) })
+	}
+	asked.Wait()
+}
+
+func (p *pools) due(now time.Time) []published.Host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var due []published.Host
+	for range p.order {
+		address := p.order[0]
+		p.order = append(p.order[1:], address)
+		if now.Sub(p.states[address].at) < pollEvery {
+			continue
+		}
+		s := p.states[address]
+		s.at = now
+		p.states[address] = s
+		due = append(due, p.servers[address])
+		if len(due) == pollsAtOnce {
+			break
+		}
+	}
+	return due
+}
+
+func (p *pools) ask(ctx context.Context, h published.Host) {
+	ctx, cancel := context.WithTimeout(ctx, pollFor)
+	defer cancel()
+	state, err := p.node.backends.State(ctx, backend.Call{Server: h.Address})
+	if err != nil {
+		return
+	}
+	p.observeEngine(h, state)
+}
+
+// observeEngine takes in a server's full report.
+func (p *pools) observeEngine(h published.Host, state backend.EngineState) {
+	p.mu.Lock()
+	before := p.states[h.Address].Instance
+	p.states[h.Address] = engineState{EngineState: state, at: time.Now()}
+	p.mu.Unlock()
+	if before != "" && before != state.Instance {
+		p.refresh()
+	}
+	p.observe(h, state.Load(), modelsOf(h, state))
+}
+
+func modelsOf(h published.Host, state backend.EngineState) map[string]bool {
+	if h.Role != published.RoleEngine {
+		return nil
+	}
+	models := make(map[string]bool, len(state.Models))
+	for _, m := range state.Models {
+		if m.Ready {
+			models[m.Model] = true
+		}
+	}
+	return models
+}
+
+// observe takes in what a server said of itself.
+func (p *pools) observe(h published.Host, load backend.Load, models map[string]bool) {
+	if load.Leaving {
+		p.node.noteLeaving(h.Address, load.Instance)
+	}
+	if pool := p.of(h.Pool); pool != nil {
+		pool.Observe(h.Address, load, models)
+	}
+}
+
+// state returns what an engine last said of itself.
+func (p *pools) state(address netip.AddrPort) (backend.EngineState, time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.states[address]
+	return s.EngineState, s.at, ok && s.Instance != ""
+}
+
+// noteLeaving tells the whole fleet, by the next heartbeats, that a backend
+// server is leaving.
+func (n *Node) noteLeaving(address netip.AddrPort, instance string) {
+	if n.view.MarkLeaving(time.Now(), fleet.LeavingServer{Address: address, Instance: instance}) {
+		n.log.WithField("server", address).Info("a backend server is leaving")
+		n.pools.refresh()
+	}
+}
+
+// all returns the pools by name.
+func (p *pools) all() map[string]*dispatch.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.byName)
+}
--- /dev/null
+++ b/internal/peer/convert.go
@@ -0,0 +1,154 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package peer
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/wingvale/wingvale/internal/fleet"
+	"github.com/wingvale/wingvale/internal/peer/peerpb"
+	"github.com/wingvale/wingvale/internal/published"
+	"github.com/wingvale/wingvale/request"
+)
+
+// Limits of what one message may hold.
+const (
+	maxMembers     = 64
+	maxLeaving     = 256
+	maxKeys        = published.MaxKeys
+	maxReplyBytes  = 4 << 20
+	maxMessageSize = 8 << 20
+)
+
+func addressBytes(a netip.AddrPort) []byte {
+	b, err := a.MarshalBinary()
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+func addressOf(b []byte) (netip.AddrPort, error) {
+	var a netip.AddrPort
+	if err := a.UnmarshalBinary(b); err != nil {
+		return netip.AddrPort{}, fmt.Errorf("peer: address: %w", err)
+	}
+	return a, nil
+}
+
+func memberMessage(m fleet.Member) *peerpb.Member {
+	return &peerpb.Member{
+		Address:     addressBytes(m.Address),
+		Peer:        addressBytes(m.Peer),
+		Zone:        m.Zone,
+		Incarnation: uint64(m.Incarnation),
+		Beat:        m.Beat,
+		State:       uint32(m.State),
+		Load:        int32(m.Load),
+	}
+}
+
+func memberOf(m *peerpb.Member) (fleet.Member, error) {
+	address, err := addressOf(m.GetAddress())
+	if err != nil {
+		return fleet.Member{}, err
+	}
+	peer, err := addressOf(m.GetPeer())
+	if err != nil {
+		return fleet.Member{}, err
+	}
+	member := fleet.Member{
+		Address:     address,
+		Peer:        peer,
+		Zone:        m.GetZone(),
+		Incarnation: request.Incarnation(m.GetIncarnation()),
+		Beat:        m.GetBeat(),
+		State:       fleet.State(m.GetState()),
+		Load:        int(m.GetLoad()),
+	}
+	return member, member.Check()
+}
+
+func membersOf(messages []*peerpb.Member) ([]fleet.Member, error) {
+	if len(messages) == 0 || len(messages) > maxMembers {
+		return nil, fmt.Errorf("peer: %d members, want 1 to %d", len(messages), maxMembers)
+	}
+	members := make([]fleet.Member, 0, len(messages))
+	for _, m := range messages {
+		member, err := memberOf(m)
+		if err != nil {
+			return nil, err
+		}
+		members = append(members, member)
+	}
+	return members, nil
+}
+
+func leavingOf(messages []*peerpb.LeavingServer) ([]fleet.LeavingServer, error) {
+	if len(messages) > maxLeaving {
+		return nil, fmt.Errorf("peer: %d leaving servers, at most %d are allowed", len(messages), maxLeaving)
+	}
+	servers := make([]fleet.LeavingServer, 0, len(messages))
+	for _, m := range messages {
+		address, err := addressOf(m.GetAddress())
+		if err != nil {
+			return nil, err
+		}
+		s := fleet.LeavingServer{Address: address, Instance: m.GetInstance()}
+		if err := s.Check(); err != nil {
+			return nil, err
+		}
+		servers = append(servers, s)
+	}
+	return servers, nil
+}
+
+func newsMessages(news fleet.News) ([]*peerpb.Member, []*peerpb.LeavingServer) {
+	members := make([]*peerpb.Member, 0, len(news.Members))
+	for _, m := range news.Members {
+		members = append(members, memberMessage(m))
+	}
+	leaving := make([]*peerpb.LeavingServer, 0, len(news.Leaving))
+	for _, s := range news.Leaving {
+		leaving = append(leaving, &peerpb.LeavingServer{Address: addressBytes(s.Address), Instance: s.Instance})
+	}
+	return members, leaving
+}
+
+func entryMessages(entries []published.Entry) []*peerpb.Entry {
+	messages := make([]*peerpb.Entry, 0, len(entries))
+	for _, e := range entries {
+		messages = append(messages, &peerpb.Entry{Key: e.Key, Revision: e.Revision, Removed: e.Removed, Data: e.Data})
+	}
+	return messages
+}
+
+func entriesOf(messages []*peerpb.Entry) []published.Entry {
+	entries := make([]published.Entry, 0, len(messages))
+	for _, m := range messages {
+		e := published.Entry{Key: m.GetKey(), Revision: m.GetRevision(), Removed: m.GetRemoved()}
+		if !e.Removed {
+			e.Data = m.GetData()
+		}
+		entries = append(entries, e)
+	}
+	return entries
+}
+
+func versionMessages(versions map[string]published.Version) []*peerpb.KeyVersion {
+	messages := make([]*peerpb.KeyVersion, 0, len(versions))
+	for key, v := range versions {
+		messages = append(messages, &peerpb.KeyVersion{Key: key, Revision: v.Revision, Digest: v.Digest})
+	}
+	return messages
+}
+
+func versionsOf(messages []*peerpb.KeyVersion) map[string]published.Version {
+	versions := make(map[string]published.Version, len(messages))
+	for _, m := range messages {
+		versions[m.GetKey()] = published.Version{Revision: m.GetRevision(), Digest: m.GetDigest()}
+	}
+	return versions
+}
--- /dev/null
+++ b/internal/peer/gossip.go
@@ -0,0 +1,437 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package peer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wingvale/wingvale/internal/fleet"
+	"github.com/wingvale/wingvale/internal/peer/peerpb"
+	"github.com/wingvale/wingvale/internal/published"
+)
+
+// Options are a Gossip's dependencies; all but the times are needed.
+type Options struct {
+	View   *fleet.View
+	Spaces Spaces
+	HTTP   *http.Client
+	Log    logrus.FieldLogger
+	Scope  tally.Scope
+	Random *rand.Rand
+	// Listed reports whether the host list has an entry host at the address.
+	Listed func(netip.AddrPort) bool
+	// Accepted is told of entries that came into force by a peer.
+	Accepted func(space peerpb.Space, entries []published.Entry)
+	// Interval is the time between heartbeats.
+	Interval time.Duration
+}
+
+const (
+	// DefaultInterval is the time between heartbeats.
+	DefaultInterval = time.Second
+	heartbeatFor    = 500 * time.Millisecond
+	probeFor        = time.Second
+	syncFor         = 5 * time.Second
+	// helpers is how many others are asked to probe a silent member.
+	helpers = 2
+	// Fanout is how many peers get a new entry at once.
+	Fanout = 3
+	// goneEvery is the heartbeat, of so many, that tries a member taken for
+	// gone, so that two sides that were cut off find each other again.
+	goneEvery = 4
+	// pending bounds the synchronisations and pushes that wait.
+	pending = 64
+)
+
+// Gossip is one node's part of the talk. Run must be called once.
+type Gossip struct {
+	options Options
+	done    chan struct{}
+	work    chan func(ctx context.Context)
+
+	mu sync.Mutex
+	// round has the members still to be contacted in this round.
+	round []netip.AddrPort
+	// syncing has the peers and spaces being synchronised.
+	syncing map[syncKey]bool
+	random  *rand.Rand
+	beats   int
+}
+
+type syncKey struct {
+	peer  netip.AddrPort
+	space peerpb.Space
+}
+
+// New returns a Gossip.
+func New(options Options) *Gossip {
+	if options.Interval <= 0 {
+		options.Interval = DefaultInterval
+	}
+	return &Gossip{
+		options: options,
+		done:    make(chan struct{}),
+		work:    make(chan func(context.Context), pending),
+		syncing: make(map[syncKey]bool),
+		random:  options.Random,
+	}
+}
+
+// Done is closed when Run has returned.
+func (g *Gossip) Done() <-chan struct{} {
+	return g.done
+}
+
+const workers = 4
+
+// Run sends heartbeats until ctx ends.
+func (g *Gossip) Run(ctx context.Context) {
+	defer close(g.done)
+	var all sync.WaitGroup
+	for range workers {
+		all.Go(func() { g.serve(ctx) })
+	}
+	all.Go(func() { g.beat(ctx) })
+	all.Wait()
+}
+
+func (g *Gossip) serve(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case do := <-g.work:
+			do(ctx)
+		}
+	}
+}
+
+func (g *Gossip) beat(ctx context.Context) {
+	for {
+		timer := time.NewTimer(g.jitter())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		g.options.View.Tick(time.Now(), g.options.Listed)
+		if target, ok := g.next(); ok {
+			g.contact(ctx, target)
+		}
+	}
+}
+
+func (g *Gossip) jitter() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	half := g.options.Interval / 2
+	return half + time.Duration(g.random.Int64N(int64(g.options.Interval)))
+}
+
+// next returns the member to contact: each live one once a round in random
+// order, and now and then one that is taken for gone.
+func (g *Gossip) next() (netip.AddrPort, bool) {
+	members := g.options.View.Members()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.beats++
+	if g.beats%goneEvery == 0 {
+		if gone := goneOf(members, g.options.Listed); len(gone) > 0 {
+			return gone[g.random.IntN(len(gone))], true
+		}
+	}
+	states := make(map[netip.AddrPort]fleet.State, len(members))
+	for _, m := range members {
+		states[m.Address] = m.State
+	}
+	for {
+		if len(g.round) == 0 {
+			g.round = reachable(members)
+			g.random.Shuffle(len(g.round), func(i, j int) { g.round[i], g.round[j] = g.round[j], g.round[i] })
+		}
+		if len(g.round) == 0 {
+			return netip.AddrPort{}, false
+		}
+		target := g.round[0]
+		g.round = g.round[1:]
+		if state, ok := states[target]; ok && state != fleet.StateGone {
+			return target, true
+		}
+	}
+}
+
+func reachable(members []fleet.Member) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, m := range members {
+		if m.State != fleet.StateGone {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	return addresses
+}
+
+func goneOf(members []fleet.Member, listed func(netip.AddrPort) bool) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, m := range members {
+		if m.State == fleet.StateGone && listed(m.Address) {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	return addresses
+}
+
+// contact sends a heartbeat to a member, straight or else by others, and
+// suspects it where neither is answered.
+func (g *Gossip) contact(ctx context.Context, address netip.AddrPort) {
+	m, ok := g.options.View.Of(address)
+	if !ok {
+		return
+	}
+	g.options.Scope.Counter("heartbeats").Inc(1)
+	err := g.exchange(ctx, m.Peer)
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	g.options.Scope.Counter("heartbeats_lost").Inc(1)
+	if m.State != fleet.StateLive || g.probedByOthers(ctx, m) || ctx.Err() != nil {
+		return
+	}
+	g.options.Log.WithError(err).WithField("peer", m.Address).Warn("a node does not answer")
+	g.options.View.Suspect(time.Now(), m.Address)
+}
+
+func (g *Gossip) probedByOthers(ctx context.Context, m fleet.Member) bool {
+	for _, helper := range g.pick(helpers, m.Address) {
+		client := g.client(helper.Peer)
+		ctx, cancel := context.WithTimeout(ctx, probeFor)
+		reply, err := client.Probe(ctx, &peerpb.ProbeRequest{Peer: addressBytes(m.Peer)})
+		cancel()
+		if err == nil && reply.GetAnswered() {
+			return true
+		}
+	}
+	return false
+}
+
+// pick returns up to count live members at random, without the one excepted.
+func (g *Gossip) pick(count int, except netip.AddrPort) []fleet.Member {
+	var live []fleet.Member
+	for _, m := range g.options.View.Members() {
+		if m.State != fleet.StateGone && m.State != fleet.StateSuspect && m.Address != except {
+			live = append(live, m)
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(count, len(live))]
+}
+
+func (g *Gossip) client(address netip.AddrPort) peerpb.Peer {
+	return peerpb.NewPeerProtobufClient("http://"+address.String(), g.options.HTTP)
+}
+
+func (g *Gossip) news() fleet.News {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.options.View.News(g.random)
+}
+
+// exchange sends one heartbeat to the node at the peer address.
+func (g *Gossip) exchange(ctx context.Context, address netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatFor)
+	defer cancel()
+	members, leaving := newsMessages(g.news())
+	out := &peerpb.ExchangeRequest{Members: members, Leaving: leaving, Summaries: g.options.Spaces.summaries()}
+	in, err := g.client(address).Exchange(ctx, out)
+	if err != nil {
+		return err
+	}
+	if err := g.takeNews(in.GetMembers(), in.GetLeaving()); err != nil {
+		return err
+	}
+	g.noteDiffering(in.GetMembers()[0], in.GetSummaries())
+	return nil
+}
+
+var errNotANode = errors.New("peer: a message without its sender")
+
+// takeNews merges news. The first member is the sender, heard from itself.
+func (g *Gossip) takeNews(in []*peerpb.Member, servers []*peerpb.LeavingServer) error {
+	members, err := membersOf(in)
+	if err != nil {
+		return err
+	}
+	if len(members) == 0 {
+		return errNotANode
+	}
+	leaving, err := leavingOf(servers)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	g.options.View.Heard(now, members[0])
+	g.options.View.Merge(now, members[1:]...)
+	for _, s := range leaving {
+		g.options.View.MarkLeaving(now, s)
+	}
+	return nil
+}
+
+// noteDiffering starts to synchronise with a peer that holds something else.
+func (g *Gossip) noteDiffering(sender *peerpb.Member, summaries []*peerpb.Summary) {
+	address, err := addressOf(sender.GetPeer())
+	if err != nil {
+		return
+	}
+	for _, space := range g.options.Spaces.differing(summaries) {
+		g.enqueue(func(ctx context.Context) { _ = g.synchronise(ctx, address, space) })
+	}
+}
+
+// enqueue hands work to the workers, or drops it where too much waits: the
+// next heartbeat finds the same difference again.
+func (g *Gossip) enqueue(do func(ctx context.Context)) {
+	select {
+	case g.work <- do:
+	default:
+		g.options.Scope.Counter("work_dropped").Inc(1)
+	}
+}
+
+// Synchronise compares both spaces with some live peers, waits for that, and
+// returns how many it reached.
+func (g *Gossip) Synchronise(ctx context.Context, count int) int {
+	reached := 0
+	for _, m := range g.pick(count, netip.AddrPort{}) {
+		if g.exchange(ctx, m.Peer) != nil {
+			continue
+		}
+		ok := true
+		for space := range g.options.Spaces {
+			ok = g.synchronise(ctx, m.Peer, space) == nil && ok
+		}
+		if ok {
+			reached++
+		}
+	}
+	return reached
+}
+
+// synchronise takes from a peer what this node lacks of a space and hands over
+// what the peer lacks.
+func (g *Gossip) synchronise(ctx context.Context, address netip.AddrPort, space peerpb.Space) error {
+	key := syncKey{peer: address, space: space}
+	if !g.begin(key) {
+		return nil
+	}
+	defer g.end(key)
+	ctx, cancel := context.WithTimeout(ctx, syncFor)
+	defer cancel()
+	store, err := g.options.Spaces.of(space)
+	if err != nil {
+		return err
+	}
+	client := g.client(address)
+	reply, err := client.Compare(ctx, &peerpb.CompareRequest{Space: space, Sums: store.Sums()})
+	if err != nil {
+		return err
+	}
+	newer, wanted := store.Newer(reply.GetSums(), versionsOf(reply.GetVersions()))
+	if err := g.fetch(ctx, client, space, wanted); err != nil {
+		return err
+	}
+	return push(ctx, client, space, newer)
+}
+
+func (g *Gossip) begin(key syncKey) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.syncing[key] {
+		return false
+	}
+	g.syncing[key] = true
+	return true
+}
+
+func (g *Gossip) end(key syncKey) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.syncing, key)
+}
+
+func (g *Gossip) fetch(ctx context.Context, client peerpb.Peer, space peerpb.Space, keys []string) error {
+	store, err := g.options.Spaces.of(space)
+	if err != nil {
+		return err
+	}
+	for len(keys) > 0 {
+		reply, err := client.Fetch(ctx, &peerpb.FetchRequest{Space: space, Keys: keys})
+		if err != nil {
+			return err
+		}
+		if len(reply.GetEntries()) == 0 {
+			return nil
+		}
+		g.accepted(space, store.Offer(entriesOf(reply.GetEntries())...))
+		keys = keys[min(len(reply.GetEntries()), len(keys)):]
+	}
+	return nil
+}
+
+func push(ctx context.Context, client peerpb.Peer, space peerpb.Space, entries []published.Entry) error {
+	for len(entries) > 0 {
+		part := fill(entries)
+		_, err := client.Push(ctx, &peerpb.PushRequest{Space: space, Entries: entryMessages(part)})
+		if err != nil {
+			return err
+		}
+		entries = entries[len(part):]
+	}
+	return nil
+}
+
+// accepted passes on what came into force by a peer.
+func (g *Gossip) accepted(space peerpb.Space, entries []published.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	g.options.Accepted(space, entries)
+	g.Spread(space, entries)
+}
+
+// Spread hands entries that just came into force to a few peers, who do the
+// same.
+func (g *Gossip) Spread(space peerpb.Space, entries []published.Entry) {
+	for _, m := range g.pick(Fanout, netip.AddrPort{}) {
+		g.enqueue(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, syncFor)
+			defer cancel()
+			_ = push(ctx, g.client(m.Peer), space, entries)
+		})
+	}
+}
+
+// Announce sends a heartbeat to some peers at once, as when leaving.
+func (g *Gossip) Announce(ctx context.Context, count int) {
+	for _, m := range g.pick(count, netip.AddrPort{}) {
+		_ = g.exchange(ctx, m.Peer)
+	}
+}
+
+// Meet sends a heartbeat to a peer address that the view may not have yet, and
+// reports whether it was answered.
+func (g *Gossip) Meet(ctx context.Context, address netip.AddrPort) bool {
+	return g.exchange(ctx, address) == nil
+}
--- /dev/null
+++ b/internal/peer/space.go
@@ -0,0 +1,53 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package peer
+
+import (
+	"fmt"
+
+	"github.com/wingvale/wingvale/internal/peer/peerpb"
+	"github.com/wingvale/wingvale/internal/published"
+)
+
+// Store is one space of published values, of whatever type.
+type Store interface {
+	Summary() published.Summary
+	Sums() []uint64
+	Differing(sums []uint64) map[string]published.Version
+	Newer(sums []uint64, versions map[string]published.Version) (newer []published.Entry, wanted []string)
+	Entries(keys ...string) []published.Entry
+	Offer(entries ...published.Entry) []published.Entry
+}
+
+// Spaces has the store of each space.
+type Spaces map[peerpb.Space]Store
+
+func (s Spaces) of(space peerpb.Space) (Store, error) {
+	store, ok := s[space]
+	if !ok {
+		return nil, fmt.Errorf("peer: no space %s", space)
+	}
+	return store, nil
+}
+
+func (s Spaces) summaries() []*peerpb.Summary {
+	summaries := make([]*peerpb.Summary, 0, len(s))
+	for space, store := range s {
+		summary := store.Summary()
+		summaries = append(summaries, &peerpb.Summary{Space: space, Revision: summary.Revision, Sum: summary.Sum})
+	}
+	return summaries
+}
+
+// differing returns the spaces in which a peer holds something else.
+func (s Spaces) differing(summaries []*peerpb.Summary) []peerpb.Space {
+	var spaces []peerpb.Space
+	for _, m := range summaries {
+		store, ok := s[m.GetSpace()]
+		if ok && store.Summary().Sum != m.GetSum() {
+			spaces = append(spaces, m.GetSpace())
+		}
+	}
+	return spaces
+}
--- /dev/null
+++ b/internal/platform/protocol.go
@@ -0,0 +1,73 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package platform
+
+import (
+	"fmt"
+
+	"github.com/wingvale/wingvale/internal/published"
+	"github.com/wingvale/wingvale/pipeline"
+)
+
+// Space is one set of keys of the platform.
+type Space string
+
+const (
+	// SpaceConfiguration has templates, workspaces and models.
+	SpaceConfiguration Space = "configuration"
+	// SpaceHosts has the host list, a key for each host.
+	SpaceHosts Space = "hosts"
+)
+
+// Paths of the platform's protocol; %s stands for the space.
+const (
+	PathValues = "/v1/spaces/%s/values"
+	PathWatch  = "/v1/spaces/%s/watch"
+)
+
+// Values answers a read: all keys as of one revision, or with After set in a
+// watch, all keys that changed since.
+type Values struct {
+	// Revision is the service's as of this answer.
+	Revision uint64 `json:"revision"`
+	Values   []Item `json:"values"`
+}
+
+// Item is one key's latest revision. Value holds the text as published.
+type Item struct {
+	Key      string `json:"key"`
+	Revision uint64 `json:"revision"`
+	Removed  bool   `json:"removed,omitempty"`
+	Value    string `json:"value,omitempty"`
+}
+
+// Check refuses an answer with more keys than a store holds.
+func (v Values) Check() error {
+	if len(v.Values) > published.MaxKeys {
+		return fmt.Errorf("platform: %d keys, at most %d are allowed", len(v.Values), published.MaxKeys)
+	}
+	for _, i := range v.Values {
+		if len(i.Value) > pipeline.MaxValueBytes {
+			return fmt.Errorf("platform: key %.80q has %d bytes, at most %d are allowed", i.Key, len(i.Value), pipeline.MaxValueBytes)
+		}
+	}
+	return nil
+}
+
+// Entries returns the items as the store takes them. An item newer than the
+// answer's own revision is left out: the service contradicts itself.
+func (v Values) Entries() []published.Entry {
+	entries := make([]published.Entry, 0, len(v.Values))
+	for _, i := range v.Values {
+		if i.Revision > v.Revision {
+			continue
+		}
+		e := published.Entry{Key: i.Key, Revision: i.Revision, Removed: i.Removed}
+		if !i.Removed {
+			e.Data = []byte(i.Value)
+		}
+		entries = append(entries, e)
+	}
+	return entries
+}
--- /dev/null
+++ b/internal/platform/watcher.go
@@ -0,0 +1,141 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package platform
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wingvale/wingvale/internal/published"
+)
+
+const (
+	backoffFirst = 200 * time.Millisecond
+	backoffMost  = 5 * time.Second
+	// idleCheck is how often a node that need not watch asks again whether
+	// it must.
+	idleCheck = time.Second
+	// fullReadEvery is how often a watcher reads all keys, to see removals
+	// that a watch could have lost.
+	fullReadEvery = 5 * time.Minute
+)
+
+// Store takes what was read.
+type Store interface {
+	Offer(entries ...published.Entry) []published.Entry
+	OfferListing(l published.Listing) []published.Entry
+}
+
+// Accepted is called with entries that came into force by a read.
+type Accepted func(entries []published.Entry)
+
+// WatcherOptions are a Watcher's dependencies; all are needed.
+type WatcherOptions struct {
+	Client *Client
+	Space  Space
+	Store  Store
+	// Must reports whether this node is one of those that watch now.
+	Must     func() bool
+	Accepted Accepted
+	Log      logrus.FieldLogger
+	Random   *rand.Rand
+}
+
+// Watcher keeps one space up to date from the platform, for as long as this
+// node is one of those that watch.
+type Watcher struct {
+	options WatcherOptions
+	done    chan struct{}
+	first   chan struct{}
+}
+
+// NewWatcher returns a watcher. Run must be called once.
+func NewWatcher(options WatcherOptions) *Watcher {
+	return &Watcher{options: options, done: make(chan struct{}), first: make(chan struct{})}
+}
+
+// Done is closed when Run has returned.
+func (w *Watcher) Done() <-chan struct{} {
+	return w.done
+}
+
+// First is closed when the space has been read once.
+func (w *Watcher) First() <-chan struct{} {
+	return w.first
+}
+
+// Run reads the space once, whether this node must watch or not, and then
+// watches while it must, until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	defer close(w.done)
+	after, listed := uint64(0), time.Time{}
+	started := false
+	backoff := backoffFirst
+	for ctx.Err() == nil {
+		if started && !w.options.Must() {
+			listed = time.Time{}
+			sleep(ctx, idleCheck)
+			continue
+		}
+		next, err := w.step(ctx, after, time.Since(listed) > fullReadEvery)
+		if errors.Is(err, ErrCompacted) {
+			listed = time.Time{}
+			continue
+		}
+		if err != nil {
+			w.options.Log.WithError(err).WithField("space", w.options.Space).Warn("the platform does not answer")
+			sleep(ctx, backoff+time.Duration(w.options.Random.Int64N(int64(backoff))))
+			backoff = min(2*backoff, backoffMost)
+			continue
+		}
+		if time.Since(listed) > fullReadEvery {
+			listed = time.Now()
+		}
+		if !started {
+			started = true
+			close(w.first)
+		}
+		after, backoff = next, backoffFirst
+	}
+}
+
+// step reads or watches once and returns the revision to go on from. That one
+// may be lower than the last where the service went back; the store takes no
+// harm from it.
+func (w *Watcher) step(ctx context.Context, after uint64, full bool) (uint64, error) {
+	if full {
+		values, err := w.options.Client.Read(ctx, w.options.Space)
+		if err != nil {
+			return 0, err
+		}
+		listing := published.Listing{Revision: values.Revision, Entries: values.Entries()}
+		w.accept(w.options.Store.OfferListing(listing))
+		return values.Revision, nil
+	}
+	values, err := w.options.Client.Watch(ctx, w.options.Space, after)
+	if err != nil {
+		return 0, err
+	}
+	w.accept(w.options.Store.Offer(values.Entries()...))
+	return values.Revision, nil
+}
+
+func (w *Watcher) accept(entries []published.Entry) {
+	if len(entries) > 0 {
+		w.options.Accepted(entries)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/published/store.go
@@ -0,0 +1,319 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package published
+
+import (
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Buckets is how many parts the keys are split into when two nodes compare.
+const Buckets = 64
+
+// MaxKeys bounds the keys of one store.
+const MaxKeys = 1 << 16
+
+// Summary tells in a few bytes what a store holds. Equal summaries mean equal
+// entries in force, but for a chance of one in 2^64.
+type Summary struct {
+	// Revision is the highest revision in force.
+	Revision uint64 `json:"revision"`
+	// Sum combines all entries in force.
+	Sum uint64 `json:"sum"`
+}
+
+// Rejection tells why an entry is not in force.
+type Rejection struct {
+	Key      string `json:"key"`
+	Revision uint64 `json:"revision"`
+	Reason   string `json:"reason"`
+}
+
+// Store holds the entries in force, decoded as V. It is safe for concurrent
+// use.
+type Store[V any] struct {
+	decode func(key string, data []byte) (V, error)
+
+	mu sync.RWMutex
+	// held has for each key the highest valid entry, tombstones included. An
+	// entry is only ever replaced by a higher one.
+	held map[string]held[V]
+	// rejected has for each key the highest invalid entry above the held one.
+	rejected map[string]Rejection
+	// sums has the combined hash of each bucket of held.
+	sums     [Buckets]uint64
+	revision uint64
+	// conflicts counts equal revisions that came with different bytes.
+	conflicts int
+	// changed is closed and replaced when an entry comes into force.
+	changed chan struct{}
+	// values is a snapshot of the decoded values, nil when out of date.
+	values map[string]V
+}
+
+type held[V any] struct {
+	entry   Entry
+	version Version
+	value   V
+}
+
+// New returns an empty store. decode must depend on nothing but its arguments.
+func New[V any](decode func(key string, data []byte) (V, error)) *Store[V] {
+	return &Store[V]{
+		decode:   decode,
+		held:     make(map[string]held[V]),
+		rejected: make(map[string]Rejection),
+		changed:  make(chan struct{}),
+	}
+}
+
+// Offer merges entries and returns those that came into force by it.
+func (s *Store[V]) Offer(entries ...Entry) []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var accepted []Entry
+	for _, e := range entries {
+		if s.offer(e) {
+			accepted = append(accepted, e)
+		}
+	}
+	if len(accepted) > 0 {
+		s.values = nil
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+	return accepted
+}
+
+func (s *Store[V]) offer(e Entry) bool {
+	old, ok := s.held[e.Key]
+	version := e.Version()
+	if ok && old.version.Revision == version.Revision && old.version != version {
+		s.conflicts++
+	}
+	if ok && version.Compare(old.version) <= 0 {
+		return false
+	}
+	value, err := s.check(e, ok)
+	if err != nil {
+		s.reject(e, err)
+		return false
+	}
+	if ok {
+		s.sums[bucketOf(e.Key)] ^= hashOf(e.Key, old.version)
+	}
+	s.sums[bucketOf(e.Key)] ^= hashOf(e.Key, version)
+	s.held[e.Key] = held[V]{entry: e, version: version, value: value}
+	s.revision = max(s.revision, e.Revision)
+	if r, found := s.rejected[e.Key]; found && r.Revision <= e.Revision {
+		delete(s.rejected, e.Key)
+	}
+	return true
+}
+
+func (s *Store[V]) check(e Entry, known bool) (V, error) {
+	var zero V
+	if e.Revision == 0 {
+		return zero, fmt.Errorf("published: revision 0 of key %.80q", e.Key)
+	}
+	if len(e.Key) == 0 || len(e.Key) > MaxKeyBytes {
+		return zero, fmt.Errorf("published: key of %d bytes, want 1 to %d", len(e.Key), MaxKeyBytes)
+	}
+	if !known && len(s.held) >= MaxKeys {
+		return zero, fmt.Errorf("published: more than %d keys", MaxKeys)
+	}
+	if e.Removed {
+		return zero, nil
+	}
+	return s.decode(e.Key, e.Data)
+}
+
+func (s *Store[V]) reject(e Entry, err error) {
+	if len(e.Key) > MaxKeyBytes || len(s.rejected) >= MaxKeys {
+		return
+	}
+	if r, found := s.rejected[e.Key]; found && r.Revision >= e.Revision {
+		return
+	}
+	s.rejected[e.Key] = Rejection{Key: e.Key, Revision: e.Revision, Reason: err.Error()}
+}
+
+// Listing is a full list of the service's keys as of one revision.
+type Listing struct {
+	Revision uint64
+	Entries  []Entry
+}
+
+// OfferListing merges a full listing. A held key that the listing lacks, and
+// that is not newer than the listing, was removed at or before its revision.
+func (s *Store[V]) OfferListing(l Listing) []Entry {
+	listed := make(map[string]bool, len(l.Entries))
+	for _, e := range l.Entries {
+		listed[e.Key] = true
+	}
+	entries := slices.Clone(l.Entries)
+	s.mu.RLock()
+	for key, h := range s.held {
+		if !listed[key] && !h.entry.Removed && h.entry.Revision < l.Revision {
+			entries = append(entries, Entry{Key: key, Revision: l.Revision, Removed: true})
+		}
+	}
+	s.mu.RUnlock()
+	return s.Offer(entries...)
+}
+
+// Get returns the value in force under key.
+func (s *Store[V]) Get(key string) (V, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	h, ok := s.held[key]
+	if !ok || h.entry.Removed {
+		var zero V
+		return zero, false
+	}
+	return h.value, true
+}
+
+// Values returns all values in force. The map is shared and must not be
+// changed.
+func (s *Store[V]) Values() map[string]V {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.values == nil {
+		s.values = make(map[string]V, len(s.held))
+		for key, h := range s.held {
+			if !h.entry.Removed {
+				s.values[key] = h.value
+			}
+		}
+	}
+	return s.values
+}
+
+// Changed returns a channel that is closed at the next change.
+func (s *Store[V]) Changed() <-chan struct{} {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.changed
+}
+
+// Summary returns what the store holds in short.
+func (s *Store[V]) Summary() Summary {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	sum := Summary{Revision: s.revision}
+	for _, b := range s.sums {
+		sum.Sum ^= b
+	}
+	return sum
+}
+
+// Sums returns the combined hash of each bucket.
+func (s *Store[V]) Sums() []uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Clone(s.sums[:])
+}
+
+// Differing returns the versions of all keys in buckets whose hash differs
+// from sums.
+func (s *Store[V]) Differing(sums []uint64) map[string]Version {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	versions := make(map[string]Version)
+	for key, h := range s.held {
+		b := bucketOf(key)
+		if b >= len(sums) || sums[b] != s.sums[b] {
+			versions[key] = h.version
+		}
+	}
+	return versions
+}
+
+// Newer returns the held entries that are above versions, in the buckets whose
+// hash differs from sums, and the keys of versions that are above the held.
+func (s *Store[V]) Newer(sums []uint64, versions map[string]Version) (newer []Entry, wanted []string) {
+	mine := s.Differing(sums)
+	for key, v := range versions {
+		if own, ok := mine[key]; !ok || v.Compare(own) > 0 {
+			if own, ok = s.version(key); !ok || v.Compare(own) > 0 {
+				wanted = append(wanted, key)
+			}
+		}
+	}
+	for key, v := range mine {
+		if theirs, ok := versions[key]; !ok || v.Compare(theirs) > 0 {
+			newer = append(newer, s.Entries(key)...)
+		}
+	}
+	return newer, wanted
+}
+
+func (s *Store[V]) version(key string) (Version, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	h, ok := s.held[key]
+	return h.version, ok
+}
+
+// Entries returns the held entries of keys, tombstones included.
+func (s *Store[V]) Entries(keys ...string) []Entry {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	entries := make([]Entry, 0, len(keys))
+	for _, key := range keys {
+		if h, ok := s.held[key]; ok {
+			entries = append(entries, h.entry)
+		}
+	}
+	return entries
+}
+
+// State is what the dump shows of a store.
+type State struct {
+	Summary   Summary           `json:"summary"`
+	Keys      int               `json:"keys"`
+	Revisions map[string]uint64 `json:"revisions"`
+	Rejected  []Rejection       `json:"rejected,omitempty"`
+	Conflicts int               `json:"conflicts"`
+}
+
+// State returns at most limit keys, in order.
+func (s *Store[V]) State(limit int) State {
+	state := State{Summary: s.Summary(), Revisions: make(map[string]uint64)}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	state.Keys = len(s.held)
+	state.Conflicts = s.conflicts
+	for _, key := range slices.Sorted(maps.Keys(s.held)) {
+		if len(state.Revisions) == limit {
+			break
+		}
+		state.Revisions[key] = s.held[key].entry.Revision
+	}
+	for _, key := range slices.Sorted(maps.Keys(s.rejected)) {
+		if len(state.Rejected) == limit {
+			break
+		}
+		state.Rejected = append(state.Rejected, s.rejected[key])
+	}
+	return state
+}
+
+func bucketOf(key string) int {
+	return int(xxhash.Sum64String(key) % Buckets)
+}
+
+func hashOf(key string, v Version) uint64 {
+	b := make([]byte, 0, len(key)+16)
+	b = append(b, key...)
+	b = binary.BigEndian.AppendUint64(b, v.Revision)
+	b = binary.BigEndian.AppendUint64(b, v.Digest)
+	return xxhash.Sum64(b)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,197 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gopkg.in/ini.v1"
+
+	"github.com/wingvale/wingvale/pipeline"
+)
+
+// Settings are those of one node.
+type Settings struct {
+	// Caller is where callers reach the node; it names it.
+	Caller netip.AddrPort
+	// Peer is where other nodes and operators reach it.
+	Peer netip.AddrPort
+	// Zone is the node's availability zone.
+	Zone string
+	// Platform has the configuration service's addresses, at least one.
+	Platform []netip.AddrPort
+	// Seeds are peer addresses to try while the platform does not answer.
+	Seeds []netip.AddrPort
+	// ReadyAfter is how long a starting node waits for both the platform and
+	// a peer, before one of them is enough.
+	ReadyAfter time.Duration
+	// Hold is how long callers may keep an answer with addresses.
+	Hold time.Duration
+	// MaxRunning bounds the requests that run at once.
+	MaxRunning int
+	// Subset bounds the backend servers of one pool that the node uses.
+	Subset int
+	// MaxCallers bounds the open connections of callers.
+	MaxCallers int
+	// Announce is how long a stopping node still admits, after it has told the
+	// others that it leaves.
+	Announce time.Duration
+	// Drain is how long a stopping node waits for requests that could go on
+	// at another node. It waits for the others to their deadline.
+	Drain time.Duration
+	// LogLevel and LogJSON say what is logged and how.
+	LogLevel logrus.Level
+	LogJSON  bool
+}
+
+// Default returns settings without addresses.
+func Default() Settings {
+	return Settings{
+		Zone:       "",
+		ReadyAfter: 5 * time.Second,
+		Hold:       30 * time.Second,
+		MaxRunning: 4096,
+		Subset:     64,
+		MaxCallers: 8192,
+		Announce:   3 * time.Second,
+		Drain:      10 * time.Second,
+		LogLevel:   logrus.InfoLevel,
+	}
+}
+
+// Load reads and checks the file at path. The error joins one error for each
+// thing that is wrong.
+func Load(path string) (Settings, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, SpaceBeforeInlineComment: true}, path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %s: %w", path, err)
+	}
+	s := Default()
+	r := newReader(path, file, s.keys())
+	return s, r.read(s.contradictions)
+}
+
+// keys lists every key there is, with where its value goes.
+func (s *Settings) keys() []key {
+	return []key{
+		{section: "node", name: "caller", required: true, set: address(&s.Caller)},
+		{section: "node", name: "peer", required: true, set: address(&s.Peer)},
+		{section: "node", name: "zone", required: true, set: name(&s.Zone)},
+		{section: "node", name: "seeds", set: addresses(&s.Seeds)},
+		{section: "platform", name: "addresses", required: true, set: addresses(&s.Platform)},
+		{section: "platform", name: "ready-after", set: duration(&s.ReadyAfter, 0, time.Hour)},
+		{section: "callers", name: "hold", set: duration(&s.Hold, time.Second, time.Hour)},
+		{section: "callers", name: "max-connections", set: number(&s.MaxCallers, 1, 1<<20)},
+		{section: "limits", name: "max-running", set: number(&s.MaxRunning, 1, 1<<20)},
+		{section: "limits", name: "subset", set: number(&s.Subset, 1, 1<<12)},
+		{section: "stop", name: "announce", set: duration(&s.Announce, 0, time.Hour)},
+		{section: "stop", name: "drain", set: duration(&s.Drain, 0, 24*time.Hour)},
+		{section: "log", name: "level", set: level(&s.LogLevel)},
+		{section: "log", name: "format", set: format(&s.LogJSON)},
+	}
+}
+
+func (s *Settings) contradictions() error {
+	var errs []error
+	if s.Caller.IsValid() && s.Caller == s.Peer {
+		errs = append(errs, fmt.Errorf("[node] caller and peer are both %s: give each an address of its own", s.Caller))
+	}
+	if slices.Contains(s.Platform, s.Caller) && s.Caller.IsValid() {
+		errs = append(errs, fmt.Errorf("[platform] addresses contains the node's own address %s", s.Caller))
+	}
+	return errors.Join(errs...)
+}
+
+type key struct {
+	section  string
+	name     string
+	required bool
+	set      func(text string) error
+}
+
+type reader struct {
+	path string
+	file *ini.File
+	keys []key
+}
+
+func newReader(path string, file *ini.File, keys []key) *reader {
+	return &reader{path: path, file: file, keys: keys}
+}
+
+func (r *reader) read(contradictions func() error) error {
+	errs := r.unknown()
+	for _, k := range r.keys {
+		if err := r.one(k); err != nil {
+			errs = append(errs, err)
+		}
+	}
+	if err := contradictions(); err != nil {
+		errs = append(errs, fmt.Errorf("%s: %w", r.path, err))
+	}
+	return errors.Join(errs...)
+}
+
+func (r *reader) one(k key) error {
+	section := r.file.Section(k.section)
+	if !section.HasKey(k.name) {
+		if k.required {
+			return fmt.Errorf("%s: [%s] %s is missing", r.path, k.section, k.name)
+		}
+		return nil
+	}
+	values := section.Key(k.name).ValueWithShadows()
+	if len(values) > 1 {
+		return fmt.Errorf("%s: [%s] %s stands %d times", r.path, k.section, k.name, len(values))
+	}
+	text := section.Key(k.name).String()
+	if err := k.set(text); err != nil {
+		return fmt.Errorf("%s: [%s] %s = %q: %w", r.path, k.section, k.name, text, err)
+	}
+	return nil
+}
+
+func (r *reader) unknown() []error {
+	known := make(map[string]bool)
+	for _, k := range r.keys {
+		known[k.section+"/"+k.name] = true
+		known[k.section] = true
+	}
+	var errs []error
+	for _, section := range r.file.Sections() {
+		if section.Name() != ini.DefaultSection && !known[section.Name()] {
+			errs = append(errs, fmt.Errorf("%s: [%s] is no section; the sections are %s", r.path, section.Name(), r.sections()))
+			continue
+		}
+		for _, k := range section.Keys() {
+			if !known[section.Name()+"/"+k.Name()] {
+				errs = append(errs, fmt.Errorf("%s: [%s] %s is no key", r.path, section.Name(), k.Name()))
+			}
+		}
+	}
+	return errs
+}
+
+func (r *reader) sections() string {
+	var names []string
+	for _, k := range r.keys {
+		if !slices.Contains(names, k.section) {
+			names = append(names, k.section)
+		}
+	}
+	return strings.Join(names, ", ")
+}
+
+func name(target *string) func(string) error {
+	return func(text string) error {
+		*target = text
+		return pipeline.CheckName("name", text)
+	}
+}
--- /dev/null
+++ b/internal/settings/standin.go
@@ -0,0 +1,61 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// Standin are the settings of the stand-ins.
+type Standin struct {
+	// Site names an example site.
+	Site string
+	// Work is how long one call takes, Token the time between two tokens.
+	Work  time.Duration
+	Token time.Duration
+	// Fail is the share of calls that fail.
+	Fail float64
+	// Nodes is how many daemons get a line on the host list, and settings in
+	// Folder.
+	Nodes  int
+	Folder string
+}
+
+// LoadStandin reads and checks the file at path.
+func LoadStandin(path string) (Standin, error) {
+	file, err := ini.Load(path)
+	if err != nil {
+		return Standin{}, fmt.Errorf("settings: %s: %w", path, err)
+	}
+	s := Standin{Work: 5 * time.Millisecond, Token: 2 * time.Millisecond, Nodes: 3, Folder: "."}
+	keys := []key{
+		{section: "standin", name: "site", required: true, set: name(&s.Site)},
+		{section: "standin", name: "work", set: duration(&s.Work, 0, time.Minute)},
+		{section: "standin", name: "token", set: duration(&s.Token, 0, time.Minute)},
+		{section: "standin", name: "fail", set: share(&s.Fail)},
+		{section: "standin", name: "nodes", set: number(&s.Nodes, 0, 64)},
+		{section: "standin", name: "folder", set: func(text string) error {
+			s.Folder = text
+			return nil
+		}},
+	}
+	r := newReader(path, file, keys)
+	return s, r.read(func() error { return nil })
+}
+
+func share(target *float64) func(string) error {
+	return func(text string) error {
+		x, err := strconv.ParseFloat(text, 64)
+		if err != nil || x < 0 || x > 1 {
+			return errors.New("want a share, 0 to 1")
+		}
+		*target = x
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/settings/value.go
@@ -0,0 +1,90 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+var errAddress = errors.New("want an IP number and a port, as in 10.0.0.1:7000")
+
+func address(target *netip.AddrPort) func(string) error {
+	return func(text string) error {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil || a.Port() == 0 {
+			return errAddress
+		}
+		*target = a
+		return nil
+	}
+}
+
+func addresses(target *[]netip.AddrPort) func(string) error {
+	return func(text string) error {
+		var list []netip.AddrPort
+		for part := range strings.SplitSeq(text, ",") {
+			var a netip.AddrPort
+			if err := address(&a)(strings.TrimSpace(part)); err != nil {
+				return fmt.Errorf("%q: %w, several split by commas", part, err)
+			}
+			list = append(list, a)
+		}
+		*target = list
+		return nil
+	}
+}
+
+func duration(target *time.Duration, least, most time.Duration) func(string) error {
+	return func(text string) error {
+		d, err := time.ParseDuration(text)
+		if err != nil || d < least || d > most {
+			return fmt.Errorf("want a time with its unit, %v to %v", least, most)
+		}
+		*target = d
+		return nil
+	}
+}
+
+func number(target *int, least, most int) func(string) error {
+	return func(text string) error {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < least || n > most {
+			return fmt.Errorf("want a whole number, %d to %d", least, most)
+		}
+		*target = n
+		return nil
+	}
+}
+
+func level(target *logrus.Level) func(string) error {
+	return func(text string) error {
+		l, err := logrus.ParseLevel(text)
+		if err != nil {
+			return errors.New("want error, warn, info or debug")
+		}
+		*target = l
+		return nil
+	}
+}
+
+func format(asJSON *bool) func(string) error {
+	return func(text string) error {
+		switch text {
+		case "json":
+			*asJSON = true
+		case "text":
+			*asJSON = false
+		default:
+			return errors.New("want text or json")
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/sites/sites.go
@@ -0,0 +1,138 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package sites holds two full examples, one for each customer: what they
+// publish, and how many of which backend servers they have. Stand-ins, the
+// demo, examples and tests are made from them.
+package sites
+
+import (
+	"embed"
+	"fmt"
+	"io/fs"
+	"path"
+	"strings"
+
+	"github.com/wingvale/wingvale/internal/published"
+	"github.com/wingvale/wingvale/internal/standin"
+)
+
+//go:embed arhiva-climei farbwerk
+var files embed.FS
+
+// Pool is one pool of backend servers of a site.
+type Pool struct {
+	Name string
+	Role published.Role
+	// Runners is how many servers the pool has.
+	Runners int
+	// Stage names what a stage pool does: encode, retrieve or rerank.
+	Stage string
+	// Slots is how many calls one server works on at once.
+	Slots int
+}
+
+// Site is one customer's installation.
+type Site struct {
+	Name string
+	// Zones are its availability zones, the halls.
+	Zones []string
+	Pools []Pool
+	// Documents is the data set that its retrievers search.
+	Documents []standin.Document
+	// Questions are inputs for trying it.
+	Questions []string
+}
+
+// Names of the stages that stage pools run.
+const (
+	StageEncode   = "encode"
+	StageRetrieve = "retrieve"
+	StageRerank   = "rerank"
+)
+
+// ArhivaClimei is the weather archive in Cluj.
+func ArhivaClimei() Site {
+	return Site{
+		Name:  "arhiva-climei",
+		Zones: []string{"cluj-a", "cluj-b", "cluj-c"},
+		Pools: []Pool{
+			{Name: "logbook-readers", Role: published.RoleEngine, Runners: 20, Slots: 8},
+			{Name: "encoders", Role: published.RolePool, Runners: 3, Stage: StageEncode, Slots: 8},
+			{Name: "retrievers", Role: published.RolePool, Runners: 4, Stage: StageRetrieve, Slots: 8},
+			{Name: "rerankers", Role: published.RolePool, Runners: 3, Stage: StageRerank, Slots: 8},
+			{Name: "records-query", Role: published.RoleService, Runners: 3, Slots: 16},
+			{Name: "ledger-intake", Role: published.RoleService, Runners: 5, Slots: 16},
+			{Name: "coop-dashboard", Role: published.RoleService, Runners: 5, Slots: 16},
+			{Name: "accounts-keys", Role: published.RoleService, Runners: 5, Slots: 16},
+		},
+		Documents: standin.Ledger(),
+		Questions: []string{
+			"How hot was July 1904 at Cluj station?",
+			"Which months of drought did Turda station see in August 1946?",
+			"Where is the gap in January 1954 at Alba station?",
+			"When did Bistrita station resume after the hail of June 1962?",
+		},
+	}
+}
+
+// Farbwerk is the colour-mixing assistant in Switzerland.
+func Farbwerk() Site {
+	return Site{
+		Name:  "farbwerk",
+		Zones: []string{"luzern-a", "luzern-b", "luzern-c"},
+		Pools: []Pool{
+			{Name: "language-models", Role: published.RoleEngine, Runners: 10, Slots: 8},
+			{Name: "encoders", Role: published.RolePool, Runners: 3, Stage: StageEncode, Slots: 8},
+			{Name: "retrievers", Role: published.RolePool, Runners: 3, Stage: StageRetrieve, Slots: 8},
+			{Name: "rerankers", Role: published.RolePool, Runners: 3, Stage: StageRerank, Slots: 8},
+			{Name: "mixing-portal", Role: published.RoleService, Runners: 3, Slots: 16},
+			{Name: "customer-accounts", Role: published.RoleService, Runners: 5, Slots: 16},
+			{Name: "invoicing", Role: published.RoleService, Runners: 5, Slots: 16},
+			{Name: "colour-catalogue", Role: published.RoleService, Runners: 5, Slots: 16},
+		},
+		Documents: standin.Recipes(),
+		Questions: []string{
+			"How do I mix alpine grey?",
+			"Why does lake blue dry darker?",
+			"How many coats does chalet red need on fir?",
+			"What is in the plum shade?",
+		},
+	}
+}
+
+// ByName returns the site of a name.
+func ByName(name string) (Site, error) {
+	for _, s := range []Site{ArhivaClimei(), Farbwerk()} {
+		if s.Name == name {
+			return s, nil
+		}
+	}
+	return Site{}, fmt.Errorf("sites: no site %q; there are arhiva-climei and farbwerk", name)
+}
+
+// Values returns what the site publishes, by key.
+func (s Site) Values() (map[string]string, error) {
+	return Read(files, s.Name)
+}
+
+// Read returns the values below a folder: templates/NAME.json and so on.
+func Read(from fs.FS, folder string) (map[string]string, error) {
+	values := make(map[string]string)
+	err := fs.WalkDir(from, folder, func(name string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || path.Ext(name) != ".json" {
+			return err
+		}
+		data, err := fs.ReadFile(from, name)
+		if err != nil {
+			return err
+		}
+		key := strings.TrimPrefix(strings.TrimSuffix(name, ".json"), folder+"/")
+		values[key] = string(data)
+		return nil
+	})
+	if err != nil {
+		return nil, fmt.Errorf("sites: %w", err)
+	}
+	return values, nil
+}
--- /dev/null
+++ b/internal/standin/data.go
@@ -0,0 +1,196 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wingvale/wingvale/internal/backend"
+)
+
+// Document is one line of the small data set.
+type Document struct {
+	ID    string  `json:"id"`
+	Text  string  `json:"text"`
+	Score float64 `json:"score,omitempty"`
+}
+
+// Vector is the result of an encoder.
+type Vector struct {
+	Vector []float64 `json:"vector"`
+}
+
+// Found is the result of a retriever and of a reranker.
+type Found struct {
+	Documents []Document `json:"documents"`
+}
+
+// Ledger is the data set of a weather archive.
+func Ledger() []Document {
+	return []Document{
+		{ID: "cluj-1904-07", Text: "Cluj station, July 1904: 31.2 degrees at noon, no rain for 23 days, the Somes stood low."},
+		{ID: "cluj-1931-02", Text: "Cluj station, February 1931: minus 24.8 degrees at dawn, snow to 61 centimetres."},
+		{ID: "turda-1946-08", Text: "Turda station, August 1946: drought in its third month, 4 millimetres of rain, wells dry."},
+		{ID: "dej-1970-05", Text: "Dej station, May 1970: flood of the Somes, 112 millimetres of rain in two days."},
+		{ID: "sibiu-1888-10", Text: "Sibiu station, October 1888: first frost on the 9th, barley harvest ended late."},
+		{ID: "alba-1954-01", Text: "Alba station, January 1954: gap from the 3rd to the 19th, the observer was snowed in."},
+		{ID: "bistrita-1962-06", Text: "Bistrita station, June 1962: hail on the 14th broke the rain gauge, readings resume on the 20th."},
+		{ID: "medias-1918-11", Text: "Medias station, November 1918: no readings, the ledger was moved to the town hall."},
+	}
+}
+
+// Recipes is the data set of a colour-mixing assistant.
+func Recipes() []Document {
+	return []Document{
+		{ID: "alpine-grey", Text: "Alpine grey: 6 parts white base, 2 parts lamp black, 1 part cobalt, stir for 4 minutes."},
+		{ID: "chalet-red", Text: "Chalet red: 5 parts iron oxide, 1 part umber, 3 parts clear base, needs two coats on fir."},
+		{ID: "lake-blue", Text: "Lake blue: 4 parts ultramarine, 3 parts white base, 1 part phthalo green, dries darker."},
+		{ID: "meadow-green", Text: "Meadow green: 3 parts chrome oxide, 2 parts yellow ochre, 4 parts white base."},
+		{ID: "saffron-wall", Text: "Saffron wall: 7 parts yellow ochre, 1 part iron oxide, 2 parts white base, matt finish."},
+		{ID: "granite-floor", Text: "Granite floor: 5 parts grey epoxy, 1 part quartz, no thinner, 12 hours to dry."},
+		{ID: "plum-shade", Text: "Plum shade: 2 parts magenta, 2 parts ultramarine, 1 part umber, 5 parts white base."},
+		{ID: "cream-ceiling", Text: "Cream ceiling: 9 parts white base, 1 part yellow ochre, a drop of umber."},
+	}
+}
+
+const (
+	dimensions = 64
+	found      = 4
+	kept       = 2
+)
+
+func words(text string) []string {
+	return strings.FieldsFunc(strings.ToLower(text), func(r rune) bool {
+		return (r < 'a' || r > 'z') && (r < '0' || r > '9')
+	})
+}
+
+// Embed maps text to a unit vector by its words.
+func Embed(text string) []float64 {
+	v := make([]float64, dimensions)
+	for _, w := range words(text) {
+		v[xxhash.Sum64String(w)%dimensions]++
+	}
+	norm := 0.0
+	for _, x := range v {
+		norm += x * x
+	}
+	if norm == 0 {
+		return v
+	}
+	for i := range v {
+		v[i] /= math.Sqrt(norm)
+	}
+	return v
+}
+
+// Encode is the job of an encoder.
+func Encode(call backend.StageCall) (json.RawMessage, error) {
+	return json.Marshal(Vector{Vector: Embed(call.Input)})
+}
+
+// Retrieve returns the job of a retriever over documents.
+func Retrieve(documents []Document) Job {
+	return func(call backend.StageCall) (json.RawMessage, error) {
+		var in Vector
+		if err := json.Unmarshal(call.Previous, &in); err != nil {
+			return nil, err
+		}
+		scored := slices.Clone(documents)
+		for i := range scored {
+			scored[i].Score = dot(in.Vector, Embed(scored[i].Text))
+		}
+		return json.Marshal(Found{Documents: top(scored, found)})
+	}
+}
+
+// Rerank is the job of a reranker: documents that share more words with the
+// question come first.
+func Rerank(call backend.StageCall) (json.RawMessage, error) {
+	var in Found
+	if err := json.Unmarshal(call.Previous, &in); err != nil {
+		return nil, err
+	}
+	asked := words(call.Input)
+	for i := range in.Documents {
+		shared := 0
+		has := words(in.Documents[i].Text)
+		for _, w := range asked {
+			if slices.Contains(has, w) {
+				shared++
+			}
+		}
+		in.Documents[i].Score = float64(shared)
+	}
+	return json.Marshal(Found{Documents: top(in.Documents, kept)})
+}
+
+func dot(a, b []float64) float64 {
+	sum := 0.0
+	for i := range min(len(a), len(b)) {
+		sum += a[i] * b[i]
+	}
+	return sum
+}
+
+func top(documents []Document, count int) []Document {
+	slices.SortFunc(documents, func(a, b Document) int {
+		if c := cmp.Compare(b.Score, a.Score); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return documents[:min(count, len(documents))]
+}
+
+// Compose is the job of an engine: it answers with the first document in the
+// prompt, or with the prompt's last line where there is none.
+func Compose(prompt string) string {
+	for line := range strings.Lines(prompt) {
+		var in Found
+		if json.Unmarshal([]byte(strings.TrimSpace(line)), &in) == nil && len(in.Documents) > 0 {
+			return fmt.Sprintf("%s [%s]", in.Documents[0].Text, in.Documents[0].ID)
+		}
+	}
+	lines := strings.Split(strings.TrimSpace(prompt), "\n")
+	return lines[len(lines)-1]
+}
+
+// Expected returns what the four stages must answer to input, word for word.
+func Expected(documents []Document, input string) (string, error) {
+	encoded, err := Encode(backend.StageCall{Input: input})
+	if err != nil {
+		return "", err
+	}
+	retrieved, err := Retrieve(documents)(backend.StageCall{Input: input, Previous: encoded})
+	if err != nil {
+		return "", err
+	}
+	reranked, err := Rerank(backend.StageCall{Input: input, Previous: retrieved})
+	if err != nil {
+		return "", err
+	}
+	return Compose(string(reranked)), nil
+}
+
+// Receipt is the result of a plain service.
+type Receipt struct {
+	Service string `json:"service"`
+	Request string `json:"request"`
+	Input   string `json:"input"`
+}
+
+// Serve returns the job of a plain service: a receipt for what was asked.
+func Serve(name string) Job {
+	return func(call backend.StageCall) (json.RawMessage, error) {
+		return json.Marshal(Receipt{Service: name, Request: call.Request.String(), Input: call.Input})
+	}
+}
--- /dev/null
+++ b/internal/standin/pool.go
@@ -0,0 +1,89 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/wingvale/wingvale/internal/backend"
+	"github.com/wingvale/wingvale/internal/wire"
+	"github.com/wingvale/wingvale/request"
+)
+
+// Job is the work of a pool or a plain service: a result from the call.
+type Job func(call backend.StageCall) (json.RawMessage, error)
+
+// Pool is one runner of a stage pool or of a plain service.
+type Pool struct {
+	*server
+	job        Job
+	maxWaiting int
+}
+
+// NewPool returns a runner that does job.
+func NewPool(o Options, job Job) *Pool {
+	return &Pool{server: newServer(o), job: job, maxWaiting: o.MaxWaiting}
+}
+
+// Handler serves the runner's protocol.
+func (p *Pool) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post(backend.PathStages+"{stage}", p.serve)
+	r.Get(backend.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
+		l := p.load()
+		_ = wire.Write(w, http.StatusOK, backend.EngineState{
+			Instance: l.Instance, Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Leaving: l.Leaving,
+		})
+	})
+	return r
+}
+
+func (p *Pool) serve(w http.ResponseWriter, r *http.Request) {
+	k := p.get()
+	named, err := call(r)
+	if err != nil {
+		p.refuse(w, r, http.StatusBadRequest, err.Error())
+		return
+	}
+	body, err := wire.ReadLoose[backend.StageCall](r.Body, request.MaxBodyBytes)
+	if err != nil {
+		p.refuse(w, r, http.StatusBadRequest, err.Error())
+		return
+	}
+	_, waiting := p.slots.counts(0)
+	if k.Leaving || p.chance(k.Refuse) || p.maxWaiting > 0 && waiting >= p.maxWaiting {
+		p.refuse(w, r, http.StatusServiceUnavailable, "full or leaving")
+		return
+	}
+	if err := p.slots.enter(r.Context(), 0); err != nil {
+		return
+	}
+	defer p.slots.leave()
+	arrival := p.arrived(named)
+	if p.chance(k.Hang) {
+		<-r.Context().Done()
+		return
+	}
+	time.Sleep(p.work())
+	result, err := p.job(body)
+	p.finished(arrival)
+	if err != nil || p.chance(k.Fail) {
+		p.fail(w, r, "failed")
+		return
+	}
+	p.answer(w, r, body, result)
+}
+
+func (p *Pool) answer(w http.ResponseWriter, r *http.Request, body backend.StageCall, result json.RawMessage) {
+	p.echo(w, r)
+	if p.chance(p.get().Mislabel) {
+		body.Request.Sequence++
+		w.Header().Set(backend.HeaderRequest, body.Request.String())
+	}
+	_ = wire.Write(w, http.StatusOK, backend.StageAnswer{Request: body.Request, Stage: body.Stage, Attempt: body.Attempt, Result: result})
+}
