internal/campaign: check the promises under random faults

Cause: nothing proved the promises.

Calls and streams that stall are given up and tried elsewhere. An issuer that refuses an id refuses it for good (settled), so a late copy of the request cannot run after its caller heard not run, and the client may take a fresh id.

--- a/client/call.go
+++ b/client/call.go
@@ -103,6 +103,10 @@
 			return c.answer(*done)
 		}
 		last = err
+		if verdict.As(err).Settled {
+			// The issuer vouches for every copy that was sent.
+			c.sent = false
+		}
 		if !c.again(err) {
 			break
 		}
--- /dev/null
+++ b/internal/campaign/campaign_test.go
@@ -0,0 +1,76 @@
+package campaign_test
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/campaign"
+)
+
+var (
+	from  = flag.Uint64("from", 1, "the first seed")
+	count = flag.Uint64("count", 12, "how many seeds")
+	only  = flag.String("only", "", "the one kind of fault to make")
+	nodes = flag.Int("nodes", 9, "how many entry hosts")
+	tell  = flag.Bool("tell", false, "print how often each fault and recovery path happened")
+)
+
+// totals adds up the reports of all seeds.
+type totals struct {
+	mu       sync.Mutex
+	faults   map[string]int
+	paths    map[string]int64
+	outcomes map[string]int
+}
+
+func (s *totals) add(r campaign.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, n := range r.Faults {
+		s.faults[k] += n
+	}
+	for k, n := range r.Paths {
+		s.paths[k] += n
+	}
+	for k, n := range r.Outcomes {
+		s.outcomes[k] += n
+	}
+}
+
+func TestSeeds(t *testing.T) {
+	sum := &totals{faults: make(map[string]int), paths: make(map[string]int64), outcomes: make(map[string]int)}
+	t.Run("seeds", func(t *testing.T) {
+		for seed := *from; seed < *from+*count; seed++ {
+			t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					r, err := campaign.Run(t.Context(), campaign.Options{Seed: seed, Nodes: *nodes, For: 30 * time.Second, Only: *only})
+					assert.NilError(t, err)
+					for _, b := range r.Breaches {
+						t.Errorf("seed %d: %s", seed, b)
+					}
+					sum.add(r)
+				})
+			})
+		}
+	})
+	if *tell {
+		print(t, "fault", sum.faults)
+		print(t, "path", sum.paths)
+		print(t, "outcome", sum.outcomes)
+	}
+}
+
+func print[N int | int64](t *testing.T, what string, counts map[string]N) {
+	for _, k := range slices.Sorted(maps.Keys(counts)) {
+		t.Logf("%s %s: %d", what, k, counts[k])
+	}
+}
--- /dev/null
+++ b/internal/campaign/check.go
@@ -0,0 +1,135 @@
+package campaign
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/wingvale/wingvale/internal/harness"
+	"github.com/wingvale/wingvale/internal/standin"
+	"github.com/wingvale/wingvale/verdict"
+)
+
+// leavingFor is how long a leaving server may still get new work.
+const leavingFor = 5 * time.Second
+
+// arrival is one call that some server began, with the server's name.
+type arrival struct {
+	standin.Arrival
+	pool   string
+	server *harness.Server
+}
+
+// keepArrivals keeps what a server saw before it is replaced.
+func (r *run) keepArrivals(s *harness.Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kept = append(r.kept, arrivalsOf(s)...)
+}
+
+func arrivalsOf(s *harness.Server) []arrival {
+	var all []arrival
+	for _, a := range s.Arrivals() {
+		all = append(all, arrival{Arrival: a, pool: s.Pool.Name, server: s})
+	}
+	return all
+}
+
+// check compares what callers were told with what servers saw.
+func (r *run) check() {
+	all := r.kept
+	for _, s := range r.site.Servers("") {
+		all = append(all, arrivalsOf(s)...)
+	}
+	byInput := make(map[string][]arrival)
+	for _, a := range all {
+		byInput[a.Input] = append(byInput[a.Input], a)
+	}
+	for _, h := range r.history {
+		r.checkCall(h, byInput[h.spec.Input])
+	}
+	for _, l := range r.listed {
+		r.checkLeaving(l, all)
+	}
+	for i, n := range r.site.Nodes() {
+		if d := n.Dump(); d.Running != 0 {
+			r.breach("node %d still runs %d requests: %+v", i, d.Running, d.Requests.Running)
+		}
+	}
+}
+
+func (r *run) checkCall(h record, arrivals []arrival) {
+	if verdict.Of(h.err) == verdict.NotRun && len(arrivals) > 0 {
+		r.breach("%q was told not run (%v) and ran: %s", h.spec.Input, h.err, describe(arrivals))
+	}
+	if h.spec.Unrepeatable {
+		r.checkOnce(h, arrivals)
+	}
+	if h.err == nil {
+		r.checkAnswer(h)
+	}
+	if h.took > callFor+time.Second {
+		r.breach("%q took %v", h.spec.Input, h.took)
+	}
+}
+
+func (r *run) checkOnce(h record, arrivals []arrival) {
+	byStage := make(map[string]int)
+	for _, a := range arrivals {
+		byStage[a.Stage]++
+	}
+	for _, stage := range slices.Sorted(maps.Keys(byStage)) {
+		if byStage[stage] > 1 {
+			r.breach("unrepeatable %q ran stage %s %d times: %s", h.spec.Input, stage, byStage[stage], describe(arrivals))
+		}
+	}
+	if h.err == nil && len(byStage) == 0 {
+		r.breach("unrepeatable %q was answered and ran nowhere", h.spec.Input)
+	}
+}
+
+func describe(arrivals []arrival) string {
+	type line struct {
+		Stage, Pool, Server, Request string
+		Attempt                      int
+		At                           time.Time
+	}
+	var lines []line
+	for _, a := range arrivals {
+		id := a.Request.String()
+		lines = append(lines, line{a.Stage, a.pool, a.server.Address.String(), id[len(id)-40:], a.Attempt, a.At})
+	}
+	text, _ := json.Marshal(lines)
+	return string(text)
+}
+
+// checkAnswer checks an answer word for word.
+func (r *run) checkAnswer(h record) {
+	switch h.spec.Pipeline {
+	case "recipe-explanation", "season-review":
+		want, err := standin.Expected(Site().Documents, h.spec.Input)
+		if err != nil || h.answer.Text != want {
+			r.breach("%q was answered %q, want %q", h.spec.Input, h.answer.Text, want)
+		}
+	default:
+		var got standin.Receipt
+		err := json.Unmarshal([]byte(h.answer.Text), &got)
+		if err != nil || got.Input != h.spec.Input || got.Request != h.answer.ID.String() {
+			r.breach("%q was answered with the receipt %q", h.spec.Input, h.answer.Text)
+		}
+	}
+}
+
+// checkLeaving looks for new work at a server that the list called leaving, if
+// nothing hid the news.
+func (r *run) checkLeaving(l leave, all []arrival) {
+	if r.disturbed.After(l.since) {
+		return
+	}
+	for _, a := range all {
+		if a.server == l.server && a.At.After(l.since.Add(leavingFor)) && a.At.Before(l.until) {
+			r.breach("%s got new work %v after it was listed as leaving", a.server.Address, a.At.Sub(l.since))
+		}
+	}
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -30,16 +30,14 @@
 
 // arguments are the command line's.
 type arguments struct {
-	Check    checkCommand    `cmd:"" help:"Check settings files and published values without starting anything."`
-	Request  requestCommand  `cmd:"" help:"Send one request and print its answer as it comes."`
-	Entries  entriesCommand  `cmd:"" help:"Ask a node which addresses callers should use."`
-	Dump     dumpCommand     `cmd:"" help:"Print what a node knows, from its peer address."`
-	Load     loadCommand     `cmd:"" help:"Offer requests at a rate; print attainment, latency and cost by stage."`
-	Standin  standinCommand  `cmd:"" help:"Serve stand-ins of a site's platform and backend servers on loopback."`
-	Demo     demoCommand     `cmd:"" help:"Run both example sites in this process, with a stop and a failure under load."`
-	Campaign campaignCommand `cmd:"" help:"Run seeds of the random fault campaign and name any broken promise."`
-	Measure  measureCommand  `cmd:"" help:"Run one of the measurements that the docs quote."`
-	Version  versionCommand  `cmd:"" help:"Print the release."`
+	Check   checkCommand   `cmd:"" help:"Check settings files and published values without starting anything."`
+	Request requestCommand `cmd:"" help:"Send one request and print its answer as it comes."`
+	Entries entriesCommand `cmd:"" help:"Ask a node which addresses callers should use."`
+	Dump    dumpCommand    `cmd:"" help:"Print what a node knows, from its peer address."`
+	Load    loadCommand    `cmd:"" help:"Offer requests at a rate; print attainment, latency and cost by stage."`
+	Standin standinCommand `cmd:"" help:"Serve stand-ins of a site's platform and backend servers on loopback."`
+	Demo    demoCommand    `cmd:"" help:"Run both example sites in this process, with a stop and a failure under load."`
+	Version versionCommand `cmd:"" help:"Print the release."`
 }
 
 // output is where a command writes.
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -63,6 +63,8 @@
 	Policy   node.Policy
 	Table    table.Options
 	Seed     uint64
+	// Scope takes the nodes' metrics; nil drops them.
+	Scope tally.Scope
 }
 
 // Site is a running site. Close must be called.
@@ -336,7 +338,7 @@
 	o := node.Options{
 		Settings:       s.nodeSettings(n),
 		Log:            s.options.Log,
-		Scope:          tally.NoopScope,
+		Scope:          s.scope(),
 		Dial:           s.options.Network.Dialer(n.Caller.Addr()),
 		CallerListener: callerListener,
 		PeerListener:   peerListener,
@@ -374,6 +376,13 @@
 	return s.nodes
 }
 
+func (s *Site) scope() tally.Scope {
+	if s.options.Scope == nil {
+		return tally.NoopScope
+	}
+	return s.options.Scope
+}
+
 // KillNode ends the i-th entry host at once, as a crash would.
 func (s *Site) KillNode(i int) {
 	n := s.nodes[i]
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -239,15 +239,25 @@
 	slowest       = 4
 	leastSamples  = 10
 	leastPatience = 50 * time.Millisecond
+	// patienceUntold is for calls of which nothing is known yet.
+	patienceUntold = 10 * time.Second
 )
 
 // patience bounds one call of a repeatable stage, so that a server that hangs
-// costs one try and not the request.
+// costs one try and not the request. An unrepeatable one could not be tried
+// again, so it has all the time there is.
 func patience(j *job, s *step) time.Duration {
-	if j.unrepeatable || j.background() || s.expected.Samples < leastSamples {
+	if j.unrepeatable {
 		return time.Until(j.deadline)
 	}
-	return max(slowest*(s.expected.Mean+2*s.expected.Spread), leastPatience)
+	if s.expected.Samples < leastSamples {
+		return patienceUntold
+	}
+	likely := slowest * (s.expected.Mean + 2*s.expected.Spread)
+	if j.background() {
+		return max(likely, patienceUntold)
+	}
+	return max(likely, leastPatience)
 }
 
 func (n *Node) callStage(ctx context.Context, j *job, s *step, call backend.Call, last bool) (json.RawMessage, backend.Report, error) {
@@ -304,7 +314,13 @@
 	if cause := context.Cause(ctx); cause != nil {
 		err = endedBy(cause, j.sent)
 	}
+	own := n.table.Issued(j.run.ID)
 	failed := request.FailedOf(err)
+	if failed.Reason == verdict.ReasonConnection {
+		// The connection to a backend server, not the caller's.
+		failed.Reason = verdict.ReasonServerFailed
+	}
+	failed.Settled = own && failed.Verdict == verdict.NotRun
 	failed.Costs = j.costs
 	n.log.WithFields(logrus.Fields{
 		"request":   j.run.ID.String(),
@@ -315,12 +331,15 @@
 	}).Info("a request failed: ", failed.Message)
 	n.endRun(j.run, failed)
 	n.scope.Tagged(map[string]string{"verdict": failed.Verdict.String(), "reason": string(failed.Reason)}).Counter("failed").Inc(1)
-	if failed.Verdict == verdict.NotRun || failed.Reason == verdict.ReasonLeaving {
-		// The same id may start here again, or at another node.
+	switch {
+	case own && (failed.Verdict == verdict.NotRun || failed.Reason == verdict.ReasonLeaving):
+		// Nothing is kept for readers, and nothing may start under the id.
+		n.table.Refuse(j.run, failed.Verdict, failed.Reason)
+	case failed.Reason == verdict.ReasonLeaving:
 		n.table.Forget(j.run)
-		return
+	default:
+		n.table.Ended(j.run)
 	}
-	n.table.Ended(j.run)
 }
 
 // endedBy is the error of a request whose context has ended.
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -86,14 +86,31 @@
 	}
 	p, err := n.admitRun(spec)
 	if err != nil {
-		n.endRun(run, request.FailedOf(err))
-		n.table.Forget(run)
-		return nil, err
+		return nil, n.refuseRun(run, err)
 	}
 	n.start(run, p)
 	return run, nil
 }
 
+// refuseRun ends a run that was not admitted. For an id of this node the
+// refusal is settled: a copy of the request that comes later is refused too.
+// Where an earlier attempt or the issuer may have run it, it is Unknown.
+func (n *Node) refuseRun(run *table.Run, err error) error {
+	e := *verdict.As(err)
+	own := n.table.Issued(run.ID)
+	if run.Spec.Resume != nil || !own {
+		e = *verdict.AfterSend(&e)
+	}
+	e.Settled = own && e.Verdict == verdict.NotRun
+	n.endRun(run, request.FailedOf(&e))
+	if own {
+		n.table.Refuse(run, e.Verdict, e.Reason)
+	} else {
+		n.table.Forget(run)
+	}
+	return &e
+}
+
 func (n *Node) admitRun(spec request.Spec) (*plan, error) {
 	if err := n.mayAdmit(); err != nil {
 		return nil, err
--- a/internal/node/generate.go
+++ b/internal/node/generate.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"strings"
 	"time"
 
@@ -20,6 +21,9 @@
 	// resumes bounds how often one stream is taken up again.
 	resumes     = 3
 	resumePause = 50 * time.Millisecond
+	// stallAfter is how long a stream may bring nothing before it is taken up
+	// anew, and begun elsewhere if that brings nothing either.
+	stallAfter = 8 * time.Second
 	cancelFor   = time.Second
 	// Priorities of engines: lower comes first.
 	priorityUrgent  = 0
@@ -48,9 +52,15 @@
 // generate runs an engine stage. If it is the last one, its text goes to the
 // caller as it comes.
 func (n *Node) generate(ctx context.Context, j *job, s *step, call backend.Call, last bool) (json.RawMessage, backend.Report, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	opening := time.AfterFunc(openPatience(j, s), func() { cancel(errOpening) })
 	stream, report, err := n.openStream(ctx, j, s, &call, last)
-	if err != nil {
-		return nil, report, err
+	if !opening.Stop() || err != nil {
+		if stream != nil {
+			stream.Close()
+		}
+		return nil, report, openError(ctx, err)
 	}
 	var text strings.Builder
 	for tries := 0; ; tries++ {
@@ -72,6 +82,20 @@
 	}
 }
 
+var errOpening = errors.New("node: the engine does not begin to answer")
+
+// openPatience is how long an engine may take to begin to answer.
+func openPatience(j *job, s *step) time.Duration {
+	return max(patience(j, s), stallAfter)
+}
+
+func openError(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), errOpening) {
+		return verdict.New(verdict.Unknown, verdict.ReasonServerFailed, "%w", errOpening)
+	}
+	return err
+}
+
 // openStream starts the completion, or takes up the one that the caller's
 // checkpoint names.
 func (n *Node) openStream(ctx context.Context, j *job, s *step, call *backend.Call, last bool) (*backend.Stream, backend.Report, error) {
@@ -129,10 +153,13 @@
 // in any case.
 func (n *Node) readStream(ctx context.Context, j *job, stream *backend.Stream, last bool, text *strings.Builder) error {
 	defer stream.Close()
+	stall := time.AfterFunc(stallAfter, stream.Close)
+	defer stall.Stop()
 	for piece, err := range stream.Pieces() {
 		if err != nil {
 			return err
 		}
+		stall.Reset(stallAfter)
 		if last && !n.chunk(j, piece.Text) {
 			return errAnswerTooLarge()
 		}
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -108,3 +108,8 @@
 	}
 	return models
 }
+
+// Revisions returns the revision in force of each key.
+func (n *Node) Revisions() map[string]uint64 {
+	return n.configuration.State(published.MaxKeys).Revisions
+}
--- a/internal/standin/configuration.go
+++ b/internal/standin/configuration.go
@@ -26,10 +26,18 @@
 	// stale has the revision that a reader is answered as of; the zero
 	// address stands for all readers.
 	stale map[staleKey]uint64
+	// forks has other bytes under the same revision, for some readers.
+	forks map[forkKey]string
 	lag   time.Duration
 	calls int
 }
 
+type forkKey struct {
+	reader   netip.Addr
+	key      string
+	revision uint64
+}
+
 type staleKey struct {
 	space  platform.Space
 	reader netip.Addr
@@ -54,9 +62,18 @@
 			platform.SpaceHosts:         {changed: make(chan struct{})},
 		},
 		stale: make(map[staleKey]uint64),
+		forks: make(map[forkKey]string),
 	}
 }
 
+// Fork makes the service show one reader other bytes under a revision of the
+// configuration, which is a fault.
+func (c *Configuration) Fork(reader netip.Addr, key string, revision uint64, value string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.forks[forkKey{reader: reader, key: key, revision: revision}] = value
+}
+
 // Publish sets key and returns its revision.
 func (c *Configuration) Publish(space platform.Space, key, value string) uint64 {
 	return c.add(space, platform.Item{Key: key, Value: value})
@@ -145,6 +162,9 @@
 		latest[ch.Key] = ch.Item
 	}
 	for _, i := range latest {
+		if other, ok := c.forks[forkKey{reader: reader, key: i.Key, revision: i.Revision}]; ok {
+			i.Value = other
+		}
 		if i.Revision > after && (after > 0 || !i.Removed) {
 			v.Values = append(v.Values, i)
 		}
--- a/internal/standin/data.go
+++ b/internal/standin/data.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -151,13 +152,31 @@
 	return documents[:min(count, len(documents))]
 }
 
+// maxTimes bounds how often an answer is given over.
+const maxTimes = 100
+
+// times returns how often to answer: N for a prompt that ends in "N times".
+func times(prompt string) int {
+	f := strings.Fields(prompt)
+	if len(f) < 2 || f[len(f)-1] != "times" {
+		return 1
+	}
+	n, err := strconv.Atoi(f[len(f)-2])
+	if err != nil {
+		return 1
+	}
+	return min(max(n, 1), maxTimes)
+}
+
 // Compose is the job of an engine: it answers with the first document in the
-// prompt, or with the prompt's last line where there is none.
+// prompt, or with the prompt's last line where there is none. A question that
+// ends in "N times" is answered so often over, which makes a long stream.
 func Compose(prompt string) string {
 	for line := range strings.Lines(prompt) {
 		var in Found
 		if json.Unmarshal([]byte(strings.TrimSpace(line)), &in) == nil && len(in.Documents) > 0 {
-			return fmt.Sprintf("%s [%s]", in.Documents[0].Text, in.Documents[0].ID)
+			answer := fmt.Sprintf("%s [%s]", in.Documents[0].Text, in.Documents[0].ID)
+			return strings.Join(slices.Repeat([]string{answer}, times(prompt)), " ")
 		}
 	}
 	lines := strings.Split(strings.TrimSpace(prompt), "\n")
@@ -178,7 +197,7 @@
 	if err != nil {
 		return "", err
 	}
-	return Compose(string(reranked)), nil
+	return Compose(string(reranked) + "\n" + input), nil
 }
 
 // Receipt is the result of a plain service.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -166,7 +166,7 @@
 // begin starts to generate, whether or not anybody goes on reading. The slot
 // is already taken.
 func (e *Engine) begin(named backend.Call, body backend.Completion) *stream {
-	arrival := e.arrived(named)
+	arrival := e.arrived(named, question(body.Prompt))
 	ctx, cancel := context.WithCancel(e.ctx)
 	e.mu.Lock()
 	e.count++
@@ -191,6 +191,17 @@
 	return s
 }
 
+// question returns the caller's text, which the templates put last.
+func question(prompt string) string {
+	i := strings.LastIndex(prompt, questionMark)
+	if i < 0 {
+		return ""
+	}
+	return strings.TrimSpace(prompt[i+len(questionMark):])
+}
+
+const questionMark = "Question: "
+
 func (e *Engine) forgetLater(s *stream) {
 	e.loads.Go(func() {
 		pause(e.ctx, e.options.Keep)
--- a/internal/standin/pool.go
+++ b/internal/standin/pool.go
@@ -64,7 +64,7 @@
 		return
 	}
 	defer p.slots.leave()
-	arrival := p.arrived(named)
+	arrival := p.arrived(named, body.Input)
 	if p.chance(k.Hang) {
 		<-r.Context().Done()
 		return
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -20,7 +20,9 @@
 	Request request.ID
 	Stage   string
 	Attempt int
-	At      time.Time
+	// Input is the caller's text.
+	Input string
+	At    time.Time
 	// Finished says that the work ended, whoever heard of it.
 	Finished bool
 }
@@ -70,8 +72,8 @@
 // maxArrivals bounds what is remembered.
 const maxArrivals = 1 << 16
 
-func (s *server) arrived(c backend.Call) *Arrival {
-	a := &Arrival{Request: c.Request, Stage: c.Stage, Attempt: c.Attempt, At: time.Now()}
+func (s *server) arrived(c backend.Call, input string) *Arrival {
+	a := &Arrival{Request: c.Request, Stage: c.Stage, Attempt: c.Attempt, Input: input, At: time.Now()}
 	s.arrivalsMu.Lock()
 	defer s.arrivalsMu.Unlock()
 	if len(s.arrivals) >= maxArrivals {
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -53,12 +53,21 @@
 	// runs has every request that started here and whose id might still be
 	// used, so that no id can start twice.
 	runs map[request.ID]*Run
+	// refused has the ids under which nothing may start any more, though they
+	// are not in runs: a copy of the request that arrives late must not run
+	// after its caller was told what became of it.
+	refused map[request.ID]refusal
 	// retained counts the bytes of ended answers.
 	retained int
 	// order has the ended runs, the oldest first.
 	order []*Run
 }
 
+type refusal struct {
+	verdict verdict.Verdict
+	reason  verdict.Reason
+}
+
 // New returns an empty table of a new incarnation of the node at address.
 func New(address netip.AddrPort, options Options) *Table {
 	if options.IDsValid <= 0 {
@@ -73,7 +82,7 @@
 	if options.MaxRetained <= 0 {
 		options.MaxRetained = DefaultMaxRetained
 	}
-	t := &Table{options: options, address: address, start: time.Now(), runs: make(map[request.ID]*Run)}
+	t := &Table{options: options, address: address, start: time.Now(), runs: make(map[request.ID]*Run), refused: make(map[request.ID]refusal)}
 	// crypto/rand.Read never fails: it ends the process instead.
 	_, _ = rand.Read(t.key[:])
 	var inc [8]byte
@@ -136,10 +145,13 @@
 		}
 		return old, false, nil
 	}
+	if r, ok := t.refused[id]; ok {
+		return nil, false, r.err(id)
+	}
 	if own && t.expired(id) {
 		return nil, false, verdict.New(verdict.Unknown, verdict.ReasonExpiredID, "table: id %s is too old to start", id)
 	}
-	if len(t.runs) >= t.options.MaxRuns {
+	if len(t.runs)+len(t.refused) >= t.options.MaxRuns {
 		return nil, false, verdict.New(verdict.NotRun, verdict.ReasonOverload, "table: %d requests are kept already", len(t.runs)).After(time.Second)
 	}
 	run := newRun(ctx, id, spec, time.Now())
@@ -155,8 +167,24 @@
 	return time.Since(t.start)-id.Issued > t.options.IDsValid
 }
 
-// Forget removes a run that was refused before anything ran, so that its id
-// may be used again.
+func (r refusal) err(id request.ID) error {
+	e := verdict.New(r.verdict, r.reason, "table: id %s was refused before", id)
+	e.Settled = r.verdict == verdict.NotRun
+	return e
+}
+
+// Refuse ends a run that is kept no longer, and refuses its id from now on
+// with the given verdict and reason.
+func (t *Table) Refuse(run *Run, v verdict.Verdict, reason verdict.Reason) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.runs, run.ID)
+	t.refused[run.ID] = refusal{verdict: v, reason: reason}
+	run.cancel(nil)
+}
+
+// Forget removes an adopted run that did not start here, so that it may be
+// adopted again.
 func (t *Table) Forget(run *Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -174,6 +202,9 @@
 	if !t.Issued(id) {
 		return nil, verdict.New(verdict.Unknown, verdict.ReasonBadID, "table: id %s was not issued here", id)
 	}
+	if r, ok := t.refused[id]; ok {
+		return nil, r.err(id)
+	}
 	if t.expired(id) {
 		return nil, verdict.New(verdict.Unknown, verdict.ReasonExpiredID, "table: what became of id %s is no longer kept", id)
 	}
@@ -211,6 +242,11 @@
 		}
 		kept = append(kept, run)
 	}
+	for id := range t.refused {
+		if t.expired(id) {
+			delete(t.refused, id)
+		}
+	}
 	clear(t.order[len(kept):])
 	t.order = kept
 }
@@ -246,6 +282,7 @@
 	Incarnation request.Incarnation `json:"incarnation"`
 	Issued      uint64              `json:"issued"`
 	Kept        int                 `json:"kept"`
+	Refused     int                 `json:"refused"`
 	Retained    int                 `json:"retained_bytes"`
 	Running     []request.Status    `json:"running"`
 }
@@ -255,7 +292,7 @@
 	running := t.Running()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := State{Incarnation: t.incarnation, Issued: t.sequence, Kept: len(t.runs), Retained: t.retained}
+	s := State{Incarnation: t.incarnation, Issued: t.sequence, Kept: len(t.runs), Refused: len(t.refused), Retained: t.retained}
 	for _, run := range running[:min(limit, len(running))] {
 		s.Running = append(s.Running, run.Status())
 	}
--- a/request/event.go
+++ b/request/event.go
@@ -93,7 +93,9 @@
 type Failed struct {
 	Verdict verdict.Verdict `json:"verdict"`
 	Reason  verdict.Reason  `json:"reason"`
-	Message string          `json:"message,omitempty"`
+	// Settled says that nothing will ever run under the request's id.
+	Settled bool   `json:"settled,omitempty"`
+	Message string `json:"message,omitempty"`
 	// RetryAfter says when to come back; 0 says nothing.
 	RetryAfter pipeline.Duration `json:"retry_after,omitempty"`
 	// Addresses are other entry hosts and fresh ids, where that helps.
@@ -104,7 +106,7 @@
 // FailedOf returns err as the caller sees it.
 func FailedOf(err error) Failed {
 	e := verdict.As(err)
-	f := Failed{Verdict: e.Verdict, Reason: e.Reason, RetryAfter: pipeline.Duration(e.RetryAfter)}
+	f := Failed{Verdict: e.Verdict, Reason: e.Reason, RetryAfter: pipeline.Duration(e.RetryAfter), Settled: e.Settled}
 	if e.Err != nil {
 		f.Message = e.Err.Error()
 	}
@@ -114,6 +116,7 @@
 // Err returns f as an error with its verdict.
 func (f Failed) Err() *verdict.Error {
 	e := verdict.New(f.Verdict, f.Reason, "%s", f.Message)
+	e.Settled = f.Settled && f.Verdict == verdict.NotRun
 	return e.After(time.Duration(f.RetryAfter))
 }
 
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -100,6 +100,10 @@
 	Reason Reason
 	// RetryAfter is how long to wait before the next try; 0 says nothing.
 	RetryAfter time.Duration
+	// Settled says that the issuer of a request's id speaks, and that nothing
+	// will ever run under the id, not even a copy of the request that is still
+	// on its way. It implies NotRun.
+	Settled bool
 	// Err is the cause in words and may be nil.
 	Err error
 }
@@ -156,10 +160,11 @@
 }
 
 // AfterSend returns err as it reads for work of which an earlier part was
-// already sent: NotRun becomes Unknown, everything else stays.
+// already sent: NotRun becomes Unknown unless it is settled, everything else
+// stays.
 func AfterSend(err error) *Error {
 	e := As(err)
-	if e == nil || e.Verdict != NotRun {
+	if e == nil || e.Verdict != NotRun || e.Settled {
 		return e
 	}
 	again := *e
