internal/limit: let nodes share few slots by fractions

Cause: with 9 nodes and 4 slots a server, a least limit of one call each let up to 9 calls queue at a server, out of reach of slack and shares.

Change: limits are fractions of a call, bounded over the pool; a reported queue counts only if the call was slow too, since reports lag; idle servers let limits grow faster.

--- /dev/null
+++ b/internal/backend/guard_test.go
@@ -0,0 +1,184 @@
+package backend_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/backend"
+	"github.com/wingvale/wingvale/internal/memnet"
+	"github.com/wingvale/wingvale/request"
+	"github.com/wingvale/wingvale/verdict"
+)
+
+var (
+	caller = netip.MustParseAddr("10.0.0.1")
+	server = netip.MustParseAddrPort("10.0.0.2:80")
+)
+
+// hostile is a listener that closes connections where it is told to. It counts
+// the requests of which at least one byte arrived.
+type hostile struct {
+	mu       sync.Mutex
+	arrivals int
+}
+
+func (h *hostile) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.arrivals
+}
+
+// behaviour handles one connection; first is false for all but the first
+// request on it.
+type behaviour func(conn net.Conn, r *http.Request)
+
+func answer(conn net.Conn, r *http.Request, header, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		backend.HeaderRequest, r.Header.Get(backend.HeaderRequest),
+		backend.HeaderStage, r.Header.Get(backend.HeaderStage),
+		backend.HeaderAttempt, r.Header.Get(backend.HeaderAttempt), header, len(body), body)
+}
+
+func result(r *http.Request) string {
+	return fmt.Sprintf(`{"request":%q,"stage":%q,"attempt":%s,"result":{}}`,
+		r.Header.Get(backend.HeaderRequest), r.Header.Get(backend.HeaderStage), r.Header.Get(backend.HeaderAttempt))
+}
+
+// serve answers the first request of each connection well, and lets bad handle
+// those after it.
+func (h *hostile) serve(l net.Listener, before func(net.Conn), bad behaviour) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			reader := bufio.NewReader(conn)
+			for n := 0; ; n++ {
+				if n > 0 && before != nil {
+					before(conn)
+				}
+				if _, err := reader.Peek(1); err != nil {
+					return
+				}
+				h.mu.Lock()
+				h.arrivals++
+				h.mu.Unlock()
+				r, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				if n == 0 || bad == nil {
+					_, _ = io.Copy(io.Discard, r.Body)
+					answer(conn, r, "", result(r))
+					continue
+				}
+				bad(conn, r)
+				return
+			}
+		}()
+	}
+}
+
+func TestNoCallArrivesTwiceAndNoFalseNotRun(t *testing.T) {
+	other := request.Issue(request.Key{1}, server, 9, 9, 0).String()
+	cases := []struct {
+		name   string
+		before func(net.Conn)
+		bad    behaviour
+		// want is the second call's verdict, and arrivals what the listener
+		// must have counted, the first call included.
+		want     verdict.Verdict
+		arrivals int
+	}{
+		{"sound", nil, nil, verdict.Ran, 2},
+		{"closes the kept connection at once", func(c net.Conn) { _ = c.Close() }, nil, verdict.Ran, 2},
+		{"closes when the request comes", nil, func(net.Conn, *http.Request) {}, verdict.Unknown, 2},
+		{"closes after the body", nil, func(_ net.Conn, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }, verdict.Unknown, 2},
+		{"closes amid the status line", nil, func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, "HTTP/1.1 2") }, verdict.Unknown, 2},
+		{"closes after the headers", nil, func(c net.Conn, r *http.Request) {
+			answer(c, r, "", "")
+		}, verdict.Unknown, 2},
+		{"cuts the body short", nil, func(c net.Conn, r *http.Request) {
+			text := result(r)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: a\r\n%s: 2\r\nContent-Length: %d\r\n\r\n%s",
+				backend.HeaderRequest, r.Header.Get(backend.HeaderRequest), backend.HeaderStage, backend.HeaderAttempt, len(text)+1, text[:len(text)-1])
+		}, verdict.Unknown, 2},
+		{"answers for another request", nil, func(c net.Conn, r *http.Request) {
+			r.Header.Set(backend.HeaderRequest, other)
+			answer(c, r, "", result(r))
+		}, verdict.Unknown, 2},
+		{"refuses for another request", nil, func(c net.Conn, _ *http.Request) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 No\r\n%s: %s\r\n%s: true\r\nContent-Length: 0\r\n\r\n", backend.HeaderRequest, other, backend.HeaderNotStarted)
+		}, verdict.Unknown, 2},
+		{"answers a result for another request", nil, func(c net.Conn, r *http.Request) {
+			text := strings.Replace(result(r), r.Header.Get(backend.HeaderRequest), other, 1)
+			answer(c, r, "", text)
+		}, verdict.Unknown, 2},
+		{"fails and says not started", nil, func(c net.Conn, r *http.Request) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 No\r\n%s: %s\r\n%s: a\r\n%s: 2\r\n%s: true\r\nContent-Length: 0\r\n\r\n",
+				backend.HeaderRequest, r.Header.Get(backend.HeaderRequest), backend.HeaderStage, backend.HeaderAttempt, backend.HeaderNotStarted)
+		}, verdict.NotRun, 2},
+		{"fails and says nothing", nil, func(c net.Conn, r *http.Request) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 No\r\n%s: %s\r\n%s: a\r\n%s: 2\r\nContent-Length: 0\r\n\r\n",
+				backend.HeaderRequest, r.Header.Get(backend.HeaderRequest), backend.HeaderStage, backend.HeaderAttempt)
+		}, verdict.Unknown, 2},
+		{"redirects", nil, func(c net.Conn, r *http.Request) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 307 Go\r\nLocation: /elsewhere\r\n%s: %s\r\n%s: a\r\n%s: 2\r\nContent-Length: 0\r\n\r\n",
+				backend.HeaderRequest, r.Header.Get(backend.HeaderRequest), backend.HeaderStage, backend.HeaderAttempt)
+		}, verdict.Unknown, 2},
+		{"answers twice", nil, func(c net.Conn, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			answer(c, r, "", result(r))
+			answer(c, r, "", result(r))
+		}, verdict.Ran, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := memnet.New(nil)
+				l, err := network.Listen(server)
+				assert.NilError(t, err)
+				h := &hostile{}
+				go h.serve(l, c.before, c.bad)
+				client := backend.New(network.Dialer(caller))
+				id := request.Issue(request.Key{1}, server, 1, 1, 0)
+				call := backend.Call{Server: server, Request: id, Stage: "a", Attempt: 1}
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				_, _, err = client.Stage(ctx, call, backend.StageCall{Input: "x"})
+				assert.NilError(t, err)
+				synctest.Wait()
+				call.Attempt = 2
+				_, _, err = client.Stage(ctx, call, backend.StageCall{Input: "x"})
+				assert.Equal(t, verdict.Of(err), c.want, "got %v", err)
+				synctest.Wait()
+				assert.Equal(t, h.count(), c.arrivals)
+				client.Close()
+				network.Kill(server.Addr())
+			})
+		})
+	}
+}
+
+func TestNothingListensIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := backend.New(memnet.New(nil).Dialer(caller))
+		call := backend.Call{Server: server, Request: request.Issue(request.Key{1}, server, 1, 1, 0), Stage: "a", Attempt: 1}
+		_, _, err := client.Stage(t.Context(), call, backend.StageCall{})
+		assert.Equal(t, verdict.Of(err), verdict.NotRun)
+	})
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -49,6 +49,8 @@
 	// backgroundShare is the part of a pool's limit that background work may
 	// fill.
 	backgroundShare = 0.75
+	// busyShare is the part of the limit in use from which it may grow.
+	busyShare = 0.75
 )
 
 // Task is a call that wants a server.
@@ -79,9 +81,11 @@
 	// here and that has not started, by workspace.
 	committed map[string]*share
 	total     share
-	prefixes  *lru.Cache[uint64, netip.AddrPort]
-	random    *rand.Rand
-	scratch   []choose.Candidate
+	// sharers is how many nodes use each server of the pool.
+	sharers  int
+	prefixes *lru.Cache[uint64, netip.AddrPort]
+	random   *rand.Rand
+	scratch  []choose.Candidate
 }
 
 type share struct {
@@ -125,6 +129,14 @@
 	}
 }
 
+// SetSharers says how many nodes use each server of the pool. New servers start
+// with that share.
+func (p *Pool) SetSharers(count int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sharers = count
+}
+
 // SetServers replaces the pool's servers. What is known of one that stays is
 // kept; a new instance at the same address starts anew.
 func (p *Pool) SetServers(servers []Server) {
@@ -165,7 +177,7 @@
 	if models != nil {
 		s.models = models
 	}
-	s.report(time.Now(), load)
+	p.report(s, time.Now(), load)
 	p.dispatch(time.Now())
 }
 
@@ -174,7 +186,10 @@
 	p.prefixes.Add(prefix, address)
 }
 
-func (s *server) report(now time.Time, load backend.Load) {
+func (p *Pool) report(s *server, now time.Time, load backend.Load) {
+	if load.Slots > 0 && load.Slots != s.slots {
+		s.limit.Resize(load.Slots, p.sharers)
+	}
 	// The node's own calls are in the report too and are counted apart.
 	s.reported = max(load.Running+load.Waiting-s.inFlight, 0)
 	s.slots = load.Slots
@@ -230,9 +245,9 @@
 // Forecast is how long a call would wait.
 type Forecast struct {
 	Wait time.Duration
-	// Slots is how many calls the node may have in flight; 0 says that no
+	// Share is how many calls the node may have in flight; 0 says that no
 	// server can take the call.
-	Slots int
+	Share float64
 }
 
 // Predict returns how long a call of workspace would wait before it starts,
@@ -240,20 +255,20 @@
 func (p *Pool) Predict(workspace string, weight int, model string, work time.Duration) Forecast {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	slots := 0
+	total := 0.0
 	now := time.Now()
 	for _, s := range p.list {
 		if p.usable(s, now, model) {
-			slots += s.allowed()
+			total += s.share()
 		}
 	}
-	if slots == 0 {
+	if total == 0 {
 		return Forecast{}
 	}
-	ahead := p.ahead(workspace, weight)
-	free := max(slots-p.inFlight, 0)
-	ahead += time.Duration(p.inFlight)*work/2 - time.Duration(free)*work
-	return Forecast{Wait: max(ahead, 0) / time.Duration(slots), Slots: slots}
+	total = max(total, 1)
+	free := max(total-float64(p.inFlight), 0)
+	ahead := p.ahead(workspace, weight).Seconds() + (float64(p.inFlight)/2-free)*work.Seconds()
+	return Forecast{Wait: time.Duration(max(ahead, 0) / total * float64(time.Second)), Share: total}
 }
 
 // ahead is the committed work that is served before a new call of workspace:
@@ -350,10 +365,10 @@
 
 func (p *Pool) dispatchOne(now time.Time, model string, lane *queue.Queue[*waiter]) bool {
 	total, free := p.collect(now, model)
-	if free == 0 {
+	if free == 0 || float64(p.inFlight)+1 > max(total, 1) {
 		return false
 	}
-	urgentOnly := p.options.Queue == queue.FairSlack && float64(p.inFlight) >= backgroundShare*float64(total)
+	urgentOnly := p.options.Queue == queue.FairSlack && float64(p.inFlight)+1 > max(backgroundShare*total, 1)
 	w, ok := lane.Pop(urgentOnly)
 	if !ok {
 		return false
@@ -372,16 +387,16 @@
 	return true
 }
 
-// collect fills scratch with all candidates and returns the sum of the limits
-// of those that are usable, and how many calls more they may take.
-func (p *Pool) collect(now time.Time, model string) (total, free int) {
+// collect fills scratch with all candidates and returns the node's share of
+// those that are usable, and how many calls more they may take.
+func (p *Pool) collect(now time.Time, model string) (total float64, free int) {
 	p.scratch = p.scratch[:0]
 	ignoreEjection := p.belowFloor(now)
 	for _, s := range p.list {
 		c := s.candidate(now, p.options.Zone)
 		c.Usable = !s.Leaving && s.holds(model) && (ignoreEjection || !s.ejected(now))
 		if c.Usable {
-			total += c.Limit
+			total += s.share()
 			free += max(c.Limit-c.InFlight, 0)
 		}
 		p.scratch = append(p.scratch, c)
@@ -439,8 +454,10 @@
 type Outcome struct {
 	// Work is how long it took.
 	Work time.Duration
-	// Expected is what calls of its kind take; 0 if not known.
+	// Expected is what calls of its kind take, and Low what they take
+	// undisturbed; 0 if not known.
 	Expected time.Duration
+	Low      time.Duration
 	// Load is what the server reported with it.
 	Load  backend.Load
 	Known bool
@@ -458,17 +475,34 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	before := s.inFlight
+	busy := p.busy(now)
 	s.inFlight--
 	p.inFlight--
 	if o.Known {
-		s.report(now, o.Load)
+		p.report(s, now, o.Load)
 	}
-	p.learn(s, o, now, before)
+	p.learn(s, o, now, busy)
 	p.dispatch(now)
 }
 
-func (p *Pool) learn(s *server, o Outcome, now time.Time, inFlight int) {
+// busy returns what the node has of the pool, and whether it could use more.
+func (p *Pool) busy(now time.Time) occupancy {
+	o := occupancy{}
+	for _, s := range p.list {
+		if p.usable(s, now, "") {
+			o.total += s.share()
+		}
+	}
+	o.busy = float64(p.inFlight) >= busyShare*o.total
+	return o
+}
+
+type occupancy struct {
+	total float64
+	busy  bool
+}
+
+func (p *Pool) learn(s *server, o Outcome, now time.Time, has occupancy) {
 	if o.Ignored {
 		return
 	}
@@ -479,9 +513,9 @@
 	if !o.Refused {
 		s.succeeded()
 	}
-	sample := limit.Sample{Now: now, Work: o.Work, Expected: o.Expected, Refused: o.Refused, InFlight: inFlight}
+	sample := limit.Sample{Now: now, Work: o.Work, Low: o.Low, Mean: o.Expected, Refused: o.Refused, Busy: has.busy, Total: has.total}
 	if o.Known {
-		sample.Waiting, sample.Slots = o.Load.Waiting, o.Load.Slots
+		sample.Running, sample.Waiting, sample.Slots = o.Load.Running, o.Load.Waiting, o.Load.Slots
 	}
 	s.limit.Add(sample)
 }
@@ -493,7 +527,7 @@
 	Leaving  bool           `json:"leaving"`
 	Ejected  bool           `json:"ejected"`
 	InFlight int            `json:"in_flight"`
-	Limit    int            `json:"limit"`
+	Limit    float64        `json:"limit"`
 	Slots    int            `json:"slots"`
 	Slowdown float64        `json:"slowdown"`
 	Served   int            `json:"served"`
@@ -524,7 +558,7 @@
 			Leaving:  s.Leaving,
 			Ejected:  s.ejected(now),
 			InFlight: s.inFlight,
-			Limit:    s.allowed(),
+			Limit:    s.share(),
 			Slots:    s.slots,
 			Slowdown: s.limit.Slowdown(),
 			Served:   s.served,
@@ -533,16 +567,3 @@
 	}
 	return state
 }
-
-// Occupancy returns the calls in flight and the calls allowed.
-func (p *Pool) Occupancy() (inFlight, allowed int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	for _, s := range p.list {
-		if p.usable(s, now, "") {
-			allowed += s.allowed()
-		}
-	}
-	return p.inFlight, allowed
-}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -63,14 +64,19 @@
 	return model == "" || s.models == nil || s.models[model]
 }
 
-// allowed returns how many calls may be in flight there.
-func (s *server) allowed() int {
+// share is the node's part of the server, which may be less than one call.
+func (s *server) share() float64 {
 	if s.probing {
-		return 1
+		return min(s.limit.Value(), 1)
 	}
 	return s.limit.Value()
 }
 
+// allowed returns how many calls may be in flight there at once.
+func (s *server) allowed() int {
+	return int(math.Ceil(s.share()))
+}
+
 func (s *server) failed(now time.Time) {
 	s.failures++
 	if s.failures < failuresToEject && !s.probing {
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -13,6 +13,9 @@
 
 const (
 	gain = 0.1
+	// lowFall and lowRise are the weights of a shorter and a longer time.
+	lowFall = 0.2
+	lowRise = 0.01
 	// fewSamples is below which the plain mean is kept.
 	fewSamples = 10
 	maxKinds   = 4096
@@ -24,6 +27,8 @@
 	Mean time.Duration
 	// Spread is the mean deviation from Mean.
 	Spread time.Duration
+	// Low is what an undisturbed call takes: near the shortest seen lately.
+	Low time.Duration
 	// Samples is how many times were seen; 0 means that Mean is a guess.
 	Samples int
 }
@@ -41,8 +46,8 @@
 }
 
 type series struct {
-	mean, spread float64
-	samples      int
+	mean, spread, low float64
+	samples           int
 }
 
 // New returns an empty table.
@@ -65,9 +70,10 @@
 	s.samples++
 	x := d.Seconds()
 	if s.samples == 1 {
-		s.mean = x
+		s.mean, s.low = x, x
 		return
 	}
+	s.lower(x)
 	g := gain
 	if s.samples < fewSamples {
 		g = 1 / float64(s.samples)
@@ -76,6 +82,20 @@
 	s.mean += g * (x - s.mean)
 }
 
+// lower moves low towards shorter times quickly and towards longer ones
+// slowly.
+func (s *series) lower(x float64) {
+	g := lowRise
+	if x < s.low {
+		g = lowFall
+	}
+	s.low += g * (x - s.low)
+}
+
+func (s *series) estimate() Estimate {
+	return Estimate{Mean: seconds(s.mean), Spread: seconds(s.spread), Low: seconds(s.low), Samples: s.samples}
+}
+
 // Of returns the estimate of kind. With no sample its Mean is 0, which never
 // refuses work that nothing is known about.
 func (t *Table) Of(kind string) Estimate {
@@ -85,7 +105,7 @@
 	if s == nil {
 		return Estimate{}
 	}
-	return Estimate{Mean: seconds(s.mean), Spread: seconds(s.spread), Samples: s.samples}
+	return s.estimate()
 }
 
 // All returns a copy of the table, for the dump.
@@ -94,7 +114,7 @@
 	defer t.mu.Unlock()
 	all := make(map[string]Estimate, len(t.kinds))
 	for k, s := range t.kinds {
-		all[k] = Estimate{Mean: seconds(s.mean), Spread: seconds(s.spread), Samples: s.samples}
+		all[k] = s.estimate()
 	}
 	return all
 }
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,98 @@
+package experiment_test
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/experiment"
+)
+
+var (
+	measure = flag.Bool("measure", false, "run all cases and print the table")
+	pick    = flag.String("case", "", "run the cases with this in their name")
+	detail  = flag.Bool("detail", false, "print each report")
+	long    = flag.Duration("long", 60*time.Second, "how long the 3x overload lasts")
+	ours    = flag.Bool("ours", false, "run no baselines")
+)
+
+func TestOverloadKeepsNineTenthsOfCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, c := range experiment.Cases(8 * time.Second) {
+			if c.Name != "3x overload" {
+				continue
+			}
+			o, err := experiment.Run(t.Context(), c, experiment.Policies()[0], 1)
+			assert.NilError(t, err)
+			assert.Assert(t, o.During >= 0.85, "got %.3f of what capacity allowed, want 0.85", o.During)
+			assert.Assert(t, o.Waste <= 0.05, "got %.3f of the work wasted, want at most 0.05", o.Waste)
+			assert.Assert(t, o.Recovered >= 0 && o.Recovered <= 5*time.Second, "got back to steady after %v, want 5s", o.Recovered)
+		}
+	})
+}
+
+func TestMeasure(t *testing.T) {
+	if !*measure {
+		t.Skip("run with -args -measure")
+	}
+	var mu sync.Mutex
+	lines := make(map[string]string)
+	var names []string
+	policies := experiment.Policies()
+	if *ours {
+		policies = policies[:1]
+	}
+	t.Run("cases", func(t *testing.T) {
+		for _, c := range experiment.Cases(*long) {
+			if !strings.Contains(c.Name, *pick) {
+				continue
+			}
+			for _, p := range policies {
+				name := c.Name + "/" + p.Name
+				names = append(names, name)
+				t.Run(name, func(t *testing.T) {
+					t.Parallel()
+					synctest.Test(t, func(t *testing.T) {
+						o, err := experiment.Run(t.Context(), c, p, 1)
+						assert.NilError(t, err)
+						text := line(o)
+						if *detail {
+							var b strings.Builder
+							o.Report.Write(&b)
+							text += "\n" + b.String()
+						}
+						mu.Lock()
+						defer mu.Unlock()
+						lines[name] = text
+					})
+				})
+			}
+		}
+	})
+	fmt.Println("| case | policy | offered | attained | attainment | of the bound | during | waste | within share | recovered | work per attained: encode, retrieve, rerank, generate |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, n := range names {
+		fmt.Println(lines[n])
+	}
+}
+
+func line(o experiment.Outcome) string {
+	within, during, recovered := "", "", ""
+	if o.Within > 0 {
+		within = fmt.Sprintf("%.1f%%", 100*o.Within)
+	}
+	if o.During > 0 {
+		during = fmt.Sprintf("%.1f%%", 100*o.During)
+		recovered = fmt.Sprintf("%v", o.Recovered)
+	}
+	ms := func(stage string) string { return fmt.Sprintf("%d", o.Cost[stage].Milliseconds()) }
+	return fmt.Sprintf("| %s | %s | %d | %d | %.1f%% | %.1f%% | %s | %.1f%% | %s | %s | %s, %s, %s, %s ms |",
+		o.Case, o.Policy, o.Offered, o.Attained, 100*float64(o.Attained)/float64(o.Offered), 100*float64(o.Attained)/o.Bound,
+		during, 100*o.Waste, within, recovered, ms("encode"), ms("retrieve"), ms("rerank"), ms("generate"))
+}
--- /dev/null
+++ b/internal/experiment/site.go
@@ -0,0 +1,113 @@
+package experiment
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/wingvale/wingvale/internal/published"
+	"github.com/wingvale/wingvale/internal/sites"
+	"github.com/wingvale/wingvale/internal/standin"
+)
+
+// Stage times and sizes of the site that is measured. They put the capacities
+// of the four stages close together, so that each can become the tightest.
+const (
+	encodeWork   = 40 * time.Millisecond
+	retrieveWork = 60 * time.Millisecond
+	rerankWork   = 50 * time.Millisecond
+	prefillWork  = 60 * time.Millisecond
+	tokenTime    = 30 * time.Millisecond
+	// tokens is how many the answers to the question have.
+	tokens      = 17
+	question    = "How do I mix alpine grey?"
+	poolSlots   = 2
+	engineSlots = 4
+	deadline    = 2 * time.Second
+	modelBytes  = 16_000_000_000
+	jitter      = 0.2
+)
+
+var stages = []string{"encode", "retrieve", "rerank", "generate"}
+
+// size is how many servers each stage has.
+type size struct {
+	name    string
+	runners map[string]int
+	zones   []string
+}
+
+// Both customers' sizes.
+func farbwerk() size {
+	return size{name: "farbwerk", runners: map[string]int{"encode": 3, "retrieve": 3, "rerank": 3, "generate": 10}, zones: sites.Farbwerk().Zones}
+}
+
+func arhiva() size {
+	return size{name: "arhiva-climei", runners: map[string]int{"encode": 6, "retrieve": 6, "rerank": 6, "generate": 20}, zones: sites.ArhivaClimei().Zones}
+}
+
+func work(stage string) time.Duration {
+	return map[string]time.Duration{
+		"encode":   encodeWork,
+		"retrieve": retrieveWork,
+		"rerank":   rerankWork,
+		"generate": prefillWork + (tokens-1)*tokenTime,
+	}[stage]
+}
+
+func slots(stage string) int {
+	if stage == "generate" {
+		return engineSlots
+	}
+	return poolSlots
+}
+
+// capacity returns the calls a second that a stage can serve.
+func (s size) capacity(stage string) float64 {
+	return float64(s.runners[stage]*slots(stage)) / work(stage).Seconds()
+}
+
+// site returns the site of that size. Each stage has a pipeline of its own
+// beside the full one.
+func (s size) site() sites.Site {
+	site := sites.Site{Name: s.name, Zones: s.zones, Documents: standin.Recipes(), Published: s.values()}
+	for _, stage := range stages {
+		p := sites.Pool{Name: stage, Role: published.RolePool, Stage: stage, Runners: s.runners[stage], Slots: slots(stage)}
+		if stage == "generate" {
+			p.Role, p.Stage = published.RoleEngine, ""
+		}
+		site.Pools = append(site.Pools, p)
+	}
+	return site
+}
+
+const stageValue = `{"name":%q,"kind":"pool","pool":%q}`
+
+const generateValue = `{"name":"generate","kind":"engine","pool":"generate","model":"guide","prompt":"Explain.\n{previous}\nQuestion: {input}\n"}`
+
+func (s size) values() map[string]string {
+	values := map[string]string{
+		"models/guide": fmt.Sprintf(`{"format":1,"name":"guide","version":"v1","pool":"generate","bytes":%d,"replicas":%d}`, modelBytes, s.runners["generate"]),
+	}
+	all := ""
+	pipelines := `"full":{}`
+	for i, stage := range stages {
+		value := fmt.Sprintf(stageValue, stage, stage)
+		if stage == "generate" {
+			value = generateValue
+		}
+		if i > 0 {
+			all += ","
+		}
+		all += value
+		only := "only-" + stage
+		values["templates/"+only] = fmt.Sprintf(`{"format":1,"name":%q,"deadline":"2s","stages":[%s]}`, only, value)
+		pipelines += fmt.Sprintf(`,%q:{}`, only)
+	}
+	values["templates/full"] = fmt.Sprintf(`{"format":1,"name":"full","deadline":"2s","stages":[%s]}`, all)
+	for _, w := range workspaces {
+		values["workspaces/"+w] = fmt.Sprintf(`{"format":1,"name":%q,"customer":%q,"weight":1,"pipelines":{%s}}`, w, s.name, pipelines)
+	}
+	return values
+}
+
+var workspaces = []string{"north", "south", "east", "west", "large"}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -4,6 +4,9 @@
 // Package limit adapts how many calls one node keeps in flight at one backend
 // server: additive increase while the server keeps up, multiplicative decrease
 // when it shows a queue, refuses, or slows down.
+//
+// A limit may be a fraction: where nodes outnumber a server's slots, each has
+// less than one of them, and uses the server part of the time.
 package limit
 
 import "time"
@@ -12,7 +15,7 @@
 type Options struct {
 	// Initial is where the limit starts.
 	Initial float64
-	// Min is the least limit, at least 1.
+	// Min is the least limit, above 0.
 	Min float64
 	// Max is the greatest limit.
 	Max float64
@@ -22,19 +25,27 @@
 
 // Defaults of Options.
 const (
-	DefaultInitial = 4
-	DefaultMin     = 1
+	DefaultInitial = 1
+	DefaultMin     = 0.1
 	DefaultMax     = 256
 )
 
 const (
-	decrease   = 0.8
-	increase   = 1.0
+	decrease = 0.85
+	increase = 1.0
+	// idleIncrease is added to increase for a server that is all idle.
+	idleIncrease = 8.0
+	// startShare times its even share is where a node starts.
+	startShare = 1.5
 	pauseAfter = 100 * time.Millisecond
-	// slowFactor is how far above its long-run time a call may take before it
-	// counts as a sign of a queue inside the server.
-	slowFactor = 2.5
-	quickGain  = 0.3
+	// queued is how far above its undisturbed time a call must take before a
+	// reported queue counts: a report may be old.
+	queued = 1.4
+	// slow is the same where the server reports nothing.
+	slow = 2.5
+	// quickGain is the weight of one call in the slowdown.
+	quickGain = 0.2
+	mostRatio = 10
 )
 
 // Sample is what one finished call tells.
@@ -43,15 +54,21 @@
 	Now time.Time
 	// Work is how long it took.
 	Work time.Duration
-	// Expected is what calls of its kind take in the long run; 0 if unknown.
-	Expected time.Duration
-	// Waiting and Slots are what the server reported; Slots 0 is no report.
+	// Low is how long calls of its kind take undisturbed, and Mean how long
+	// they take in the middle; 0 if unknown.
+	Low  time.Duration
+	Mean time.Duration
+	// Running, Waiting and Slots are what the server reported; Slots 0 is no
+	// report.
+	Running int
 	Waiting int
 	Slots   int
 	// Refused says that the server was full.
 	Refused bool
-	// InFlight is how many calls the node had there when this one ended.
-	InFlight int
+	// Busy says that the node could have used more.
+	Busy bool
+	// Total is the sum of the node's limits over the pool.
+	Total float64
 }
 
 // Limit is the limit for one server. It is not safe for concurrent use.
@@ -60,13 +77,13 @@
 	value   float64
 	// cutAt is when the limit was last lowered.
 	cutAt time.Time
-	// ratio follows Work over Expected and is 1 at the start.
+	// ratio follows Work over Mean and is 1 at the start.
 	ratio float64
 }
 
 // New returns a limit within options.
 func New(options Options) *Limit {
-	if options.Min < DefaultMin {
+	if options.Min <= 0 {
 		options.Min = DefaultMin
 	}
 	if options.Max <= 0 {
@@ -78,49 +95,75 @@
 	return &Limit{options: options, value: min(max(options.Initial, options.Min), options.Max), ratio: 1}
 }
 
-// Value returns how many calls may be in flight, at least 1.
-func (l *Limit) Value() int {
-	return int(l.value)
+// Value returns how many calls may be in flight in the mean. It is above 0.
+func (l *Limit) Value() float64 {
+	return l.value
 }
 
-// Slowdown returns how much slower than expected the server answers lately;
-// 1 is as expected.
+// Slowdown returns how much slower than its like the server answers lately; 1
+// is even.
 func (l *Limit) Slowdown() float64 {
 	return l.ratio
 }
 
+// Resize starts the limit anew at the share of a server with that many slots
+// that each of some nodes has, unless it is fixed.
+func (l *Limit) Resize(slots, nodes int) {
+	if l.options.Fixed {
+		return
+	}
+	l.options.Max = float64(max(slots, 1))
+	l.value = min(max(startShare*float64(slots)/float64(max(nodes, 1)), l.options.Min), l.options.Max)
+}
+
 // Add takes a finished call into account.
 func (l *Limit) Add(s Sample) {
-	if s.Expected > 0 && !s.Refused {
-		now := s.Work.Seconds() / s.Expected.Seconds()
-		l.ratio += quickGain * (min(now, 10) - l.ratio)
+	if s.Mean > 0 && !s.Refused {
+		now := s.Work.Seconds() / s.Mean.Seconds()
+		l.ratio += quickGain * (min(now, mostRatio) - l.ratio)
 	}
 	if l.options.Fixed {
 		return
 	}
-	if l.overloaded(s) {
-		l.lower(s.Now)
+	if s.overloaded() {
+		l.lower(s)
 		return
 	}
-	if float64(s.InFlight) >= l.value*0.75 {
-		l.value = min(l.value+increase/l.value, l.options.Max)
+	if s.Busy {
+		l.value = min(l.value+s.growth()/max(s.Total, 1), l.options.Max)
 	}
 }
 
-func (l *Limit) overloaded(s Sample) bool {
+// growth is how much the limits of the pool may grow in the time of one call:
+// the more of the server is idle, the faster.
+func (s Sample) growth() float64 {
+	if s.Slots == 0 || s.Waiting > 0 {
+		return increase
+	}
+	idle := 1 - float64(min(s.Running, s.Slots))/float64(s.Slots)
+	return increase + idleIncrease*idle
+}
+
+func (s Sample) overloaded() bool {
 	if s.Refused {
 		return true
 	}
+	if s.Low == 0 {
+		return s.Waiting > 0
+	}
+	took := s.Work.Seconds() / s.Low.Seconds()
 	if s.Slots > 0 {
-		return s.Waiting > max(s.Slots/4, 1)
+		return s.Waiting > 0 && took > queued
 	}
-	return l.ratio > slowFactor
+	return took > slow
 }
 
-func (l *Limit) lower(now time.Time) {
-	if now.Sub(l.cutAt) < pauseAfter {
+// lower cuts the limit, once for each time that a call takes: the calls that
+// were under way then show the same queue.
+func (l *Limit) lower(s Sample) {
+	if s.Now.Sub(l.cutAt) < max(pauseAfter, s.Mean) {
 		return
 	}
-	l.cutAt = now
+	l.cutAt = s.Now
 	l.value = max(l.value*decrease, l.options.Min)
 }
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -214,7 +214,7 @@
 
 // learn tells the pool and the estimates how a call went.
 func (n *Node) learn(ctx context.Context, s *step, g *dispatch.Grant, report backend.Report, work time.Duration, err error) {
-	o := dispatch.Outcome{Work: work, Expected: s.expected.Mean, Load: report.Load, Known: report.Known}
+	o := dispatch.Outcome{Work: work, Expected: s.expected.Mean, Low: s.expected.Low, Load: report.Load, Known: report.Known}
 	switch {
 	case err == nil:
 		n.estimates.Add(s.kind, work)
--- a/internal/node/generate.go
+++ b/internal/node/generate.go
@@ -24,7 +24,7 @@
 	// stallAfter is how long a stream may bring nothing before it is taken up
 	// anew, and begun elsewhere if that brings nothing either.
 	stallAfter = 8 * time.Second
-	cancelFor   = time.Second
+	cancelFor  = time.Second
 	// Priorities of engines: lower comes first.
 	priorityUrgent  = 0
 	priorityPatient = 10
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -124,7 +124,7 @@
 			return verdict.New(verdict.NotRun, verdict.ReasonNoServer, "node: no backend server of pool %s is listed", s.Pool).After(time.Second)
 		}
 		f := s.pool.Predict(p.workspace.Name, p.workspace.Weight, s.Model, s.expected.Mean)
-		if f.Slots == 0 {
+		if f.Share == 0 {
 			return verdict.New(verdict.NotRun, verdict.ReasonNoServer, "node: no backend server of pool %s can serve stage %s", s.Pool, s.Name).After(time.Second)
 		}
 		total += f.Wait + s.expected.Mean
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -128,9 +128,20 @@
 			Leaving:  h.Leaving || p.node.view.IsLeaving(h.Address, instance),
 		})
 	}
+	pool.SetSharers(p.sharers(len(hosts)))
 	pool.SetServers(servers)
 }
 
+// sharers is how many nodes use each server of a pool: all of them for a small
+// pool, and for a large one as many as the subsets come to.
+func (p *pools) sharers(used int) int {
+	nodes := len(p.node.liveNodes())
+	if used < p.node.settings.Subset {
+		return nodes
+	}
+	return max(nodes*p.node.settings.Subset/max(used, 1), 1)
+}
+
 func (p *pools) options(name string) dispatch.Options {
 	policy := p.node.options.Policy
 	return dispatch.Options{
--- a/internal/sites/sites.go
+++ b/internal/sites/sites.go
@@ -42,6 +42,8 @@
 	Documents []standin.Document
 	// Questions are inputs for trying it.
 	Questions []string
+	// Published replaces the site's own values, if set.
+	Published map[string]string
 }
 
 // Names of the stages that stage pools run.
@@ -113,6 +115,9 @@
 
 // Values returns what the site publishes, by key.
 func (s Site) Values() (map[string]string, error) {
+	if s.Published != nil {
+		return s.Published, nil
+	}
 	return Read(files, s.Name)
 }
 
--- a/internal/standin/data.go
+++ b/internal/standin/data.go
@@ -98,12 +98,15 @@
 	return json.Marshal(Vector{Vector: Embed(call.Input)})
 }
 
-// Retrieve returns the job of a retriever over documents.
+// Retrieve returns the job of a retriever over documents. With no vector from a
+// stage before it makes its own.
 func Retrieve(documents []Document) Job {
 	return func(call backend.StageCall) (json.RawMessage, error) {
-		var in Vector
-		if err := json.Unmarshal(call.Previous, &in); err != nil {
-			return nil, err
+		in := Vector{Vector: Embed(call.Input)}
+		if len(call.Previous) > 0 {
+			if err := json.Unmarshal(call.Previous, &in); err != nil {
+				return nil, err
+			}
 		}
 		scored := slices.Clone(documents)
 		for i := range scored {
@@ -117,8 +120,10 @@
 // question come first.
 func Rerank(call backend.StageCall) (json.RawMessage, error) {
 	var in Found
-	if err := json.Unmarshal(call.Previous, &in); err != nil {
-		return nil, err
+	if len(call.Previous) > 0 {
+		if err := json.Unmarshal(call.Previous, &in); err != nil {
+			return nil, err
+		}
 	}
 	asked := words(call.Input)
 	for i := range in.Documents {
--- a/internal/standin/pool.go
+++ b/internal/standin/pool.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -23,6 +24,24 @@
 	*server
 	job        Job
 	maxWaiting int
+
+	lastMu sync.Mutex
+	// last is the answer given last.
+	last *answered
+}
+
+type answered struct {
+	body   backend.StageCall
+	result json.RawMessage
+}
+
+// swap remembers an answer and returns the one before.
+func (p *Pool) swap(body backend.StageCall, result json.RawMessage) *answered {
+	p.lastMu.Lock()
+	defer p.lastMu.Unlock()
+	before := p.last
+	p.last = &answered{body: body, result: result}
+	return before
 }
 
 // NewPool returns a runner that does job.
@@ -81,9 +100,11 @@
 
 func (p *Pool) answer(w http.ResponseWriter, r *http.Request, body backend.StageCall, result json.RawMessage) {
 	p.echo(w, r)
-	if p.chance(p.get().Mislabel) {
-		body.Request.Sequence++
-		w.Header().Set(backend.HeaderRequest, body.Request.String())
+	other := p.swap(body, result)
+	if other != nil && p.chance(p.get().Mislabel) {
+		// The answer of another call, as that one's.
+		w.Header().Set(backend.HeaderRequest, other.body.Request.String())
+		body, result = other.body, other.result
 	}
 	_ = wire.Write(w, http.StatusOK, backend.StageAnswer{Request: body.Request, Stage: body.Stage, Attempt: body.Attempt, Result: result})
 }
