internal/node: predict a pipeline's time as a chain, with a margin

Cause: admission added the waits of all stages, though the work that waits for a later stage drains while the earlier ones run; and half of what started at its latest time missed its deadline at full cost.

Change: a stage begins when the one before has ended or its backlog has drained, whichever is later; two mean deviations of margin; shares are rounded to calls, and a waiting call counts as busy; a queue at one server lowers the limits only if most servers have one; slow calls teach the estimate.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -49,6 +50,7 @@
 	// backgroundShare is the part of a pool's limit that background work may
 	// fill.
 	backgroundShare = 0.75
+	pressureGain    = 0.1
 	// busyShare is the part of the limit in use from which it may grow.
 	busyShare = 0.75
 )
@@ -81,6 +83,8 @@
 	// here and that has not started, by workspace.
 	committed map[string]*share
 	total     share
+	// pressure follows the share of calls that met a queue inside a server.
+	pressure float64
 	// sharers is how many nodes use each server of the pool.
 	sharers  int
 	prefixes *lru.Cache[uint64, netip.AddrPort]
@@ -255,13 +259,7 @@
 func (p *Pool) Predict(workspace string, weight int, model string, work time.Duration) Forecast {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	total := 0.0
-	now := time.Now()
-	for _, s := range p.list {
-		if p.usable(s, now, model) {
-			total += s.share()
-		}
-	}
+	total, _ := p.collect(time.Now(), model)
 	if total == 0 {
 		return Forecast{}
 	}
@@ -365,10 +363,10 @@
 
 func (p *Pool) dispatchOne(now time.Time, model string, lane *queue.Queue[*waiter]) bool {
 	total, free := p.collect(now, model)
-	if free == 0 || float64(p.inFlight)+1 > max(total, 1) {
+	if free == 0 || p.inFlight >= whole(total) {
 		return false
 	}
-	urgentOnly := p.options.Queue == queue.FairSlack && float64(p.inFlight)+1 > max(backgroundShare*total, 1)
+	urgentOnly := p.options.Queue == queue.FairSlack && p.inFlight >= whole(backgroundShare*total)
 	w, ok := lane.Pop(urgentOnly)
 	if !ok {
 		return false
@@ -387,6 +385,11 @@
 	return true
 }
 
+// whole turns a share into calls: at least one, so that no node is shut out.
+func whole(share float64) int {
+	return max(int(math.Round(share)), 1)
+}
+
 // collect fills scratch with all candidates and returns the node's share of
 // those that are usable, and how many calls more they may take.
 func (p *Pool) collect(now time.Time, model string) (total float64, free int) {
@@ -493,7 +496,10 @@
 			o.total += s.share()
 		}
 	}
-	o.busy = float64(p.inFlight) >= busyShare*o.total
+	o.busy = p.inFlight >= whole(busyShare*o.total)
+	for _, lane := range p.lanes {
+		o.busy = o.busy || lane.Len() > 0
+	}
 	return o
 }
 
@@ -517,6 +523,12 @@
 	if o.Known {
 		sample.Running, sample.Waiting, sample.Slots = o.Load.Running, o.Load.Waiting, o.Load.Slots
 	}
+	met := 0.0
+	if sample.Overloaded() {
+		met = 1
+	}
+	p.pressure += pressureGain * (met - p.pressure)
+	sample.Pressure = p.pressure
 	s.limit.Add(sample)
 }
 
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -43,6 +43,8 @@
 	queued = 1.4
 	// slow is the same where the server reports nothing.
 	slow = 2.5
+	// pressed is the pressure from which limits are lowered.
+	pressed = 0.5
 	// quickGain is the weight of one call in the slowdown.
 	quickGain = 0.2
 	mostRatio = 10
@@ -67,6 +69,9 @@
 	Refused bool
 	// Busy says that the node could have used more.
 	Busy bool
+	// Pressure is the share of the pool's late calls that were overloaded. Where
+	// it is low, a queue at one server is chance, and others have room.
+	Pressure float64
 	// Total is the sum of the node's limits over the pool.
 	Total float64
 }
@@ -125,8 +130,10 @@
 	if l.options.Fixed {
 		return
 	}
-	if s.overloaded() {
-		l.lower(s)
+	if s.Overloaded() {
+		if s.Refused || s.Pressure > pressed || l.ratio > slow {
+			l.lower(s)
+		}
 		return
 	}
 	if s.Busy {
@@ -144,7 +151,8 @@
 	return increase + idleIncrease*idle
 }
 
-func (s Sample) overloaded() bool {
+// Overloaded reports whether the call met a queue inside the server.
+func (s Sample) Overloaded() bool {
 	if s.Refused {
 		return true
 	}
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -162,7 +162,7 @@
 		Item: queue.Item{
 			Workspace:  j.workspace.Name,
 			Weight:     j.workspace.Weight,
-			Latest:     latest.Add(-s.rest),
+			Latest:     latest.Add(-s.rest - s.margin),
 			Cost:       s.expected.Mean,
 			Background: j.background(),
 		},
@@ -220,6 +220,11 @@
 		n.estimates.Add(s.kind, work)
 	case ctx.Err() != nil:
 		o.Ignored = true
+	case errors.Is(err, context.DeadlineExceeded):
+		// The call took at least that long: without it, the estimate would
+		// never learn that the whole pool has become slow.
+		n.estimates.Add(s.kind, work)
+		o.Failed = true
 	case verdict.As(err).Reason == verdict.ReasonRefused:
 		o.Refused = true
 	default:
@@ -236,9 +241,9 @@
 const (
 	// slowest is how far beyond its likely time a call to a pool may take
 	// before another server is tried; it needs some samples first.
-	slowest       = 4
+	slowest       = 6
 	leastSamples  = 10
-	leastPatience = 50 * time.Millisecond
+	leastPatience = 200 * time.Millisecond
 	// patienceUntold is for calls of which nothing is known yet.
 	patienceUntold = 10 * time.Second
 )
@@ -253,7 +258,7 @@
 	if s.expected.Samples < leastSamples {
 		return patienceUntold
 	}
-	likely := slowest * (s.expected.Mean + 2*s.expected.Spread)
+	likely := slowest * s.expected.Likely()
 	if j.background() {
 		return max(likely, patienceUntold)
 	}
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -36,8 +36,10 @@
 	// kind is the estimate's key.
 	kind     string
 	expected estimate.Estimate
-	// rest is the expected work of this stage and all after it.
-	rest time.Duration
+	// rest is the expected work of this stage and all after it, and margin
+	// what most requests need beyond that.
+	rest   time.Duration
+	margin time.Duration
 }
 
 // newPlan resolves spec against the values in force. It fails with NotRun.
@@ -56,10 +58,11 @@
 		p.unrepeatable = p.unrepeatable || s.Unrepeatable
 		p.steps = append(p.steps, n.newStep(t, s))
 	}
-	rest := time.Duration(0)
+	rest, margin := time.Duration(0), time.Duration(0)
 	for i := len(p.steps) - 1; i >= 0; i-- {
 		rest += p.steps[i].expected.Mean
-		p.steps[i].rest = rest
+		margin += margins * p.steps[i].expected.Spread
+		p.steps[i].rest, p.steps[i].margin = rest, margin
 	}
 	if spec.Resume != nil {
 		return p, p.resume(*spec.Resume)
@@ -105,6 +108,18 @@
 	return verdict.New(verdict.Unknown, verdict.ReasonBadRequest, "node: the checkpoint's stage %s is not in the pipeline", c.Finished)
 }
 
+// margins is how many mean deviations of its work a request is given beyond
+// what is expected. Without it, half of those that start at their latest time
+// would miss their deadline, at full cost.
+const margins = 2
+
+func (p *plan) margin() time.Duration {
+	if p.start >= len(p.steps) {
+		return 0
+	}
+	return p.steps[p.start].margin
+}
+
 func (p *plan) background() bool {
 	return p.template.Class == pipeline.ClassBackground
 }
@@ -116,7 +131,9 @@
 )
 
 // admit decides, before anything is spent, whether the request can be answered
-// in time: the waits and the work of all its stages against the time left.
+// in time. A stage begins when the one before has ended and the work committed
+// ahead at its own pool is drained, whichever is later: what waits for a later
+// stage is drained while the earlier ones run.
 func (n *Node) admit(p *plan) error {
 	total := time.Duration(0)
 	for _, s := range p.steps[p.start:] {
@@ -127,8 +144,9 @@
 		if f.Share == 0 {
 			return verdict.New(verdict.NotRun, verdict.ReasonNoServer, "node: no backend server of pool %s can serve stage %s", s.Pool, s.Name).After(time.Second)
 		}
-		total += f.Wait + s.expected.Mean
+		total = max(total, f.Wait) + s.expected.Mean
 	}
+	total += p.margin()
 	left := time.Until(p.deadline)
 	if total <= left || n.options.Policy.AdmitAll {
 		return nil
