internal/dispatch: forecast by fair shares; keep less work queued in servers

Cause: a workspace within its share was forecast to wait as if all workspaces were backlogged, and growth of one call a round from each of 9 nodes kept calls queued inside the engines.

Change: others count as ahead only by what they have and what their share lets through; the limit grows by 0.3 calls a round where nothing is idle, and counts a queue from 1.25 times the undisturbed time; estimates fade with a half-life of 2 s, so a refusal cannot keep itself up.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -222,7 +222,6 @@
 	if own == nil {
 		own = &share{}
 		p.committed[workspace] = own
-		p.total.weight += weight
 		own.weight = weight
 	}
 	own.work += work
@@ -241,7 +240,6 @@
 	p.total.work -= work
 	p.total.count--
 	if own.count == 0 {
-		p.total.weight -= own.weight
 		delete(p.committed, workspace)
 	}
 }
@@ -265,25 +263,31 @@
 	}
 	total = max(total, 1)
 	free := max(total-float64(p.inFlight), 0)
-	ahead := p.ahead(workspace, weight).Seconds() + (float64(p.inFlight)/2-free)*work.Seconds()
+	// With n calls under way one ends every n-th part of a call's time; the
+	// new call starts after those ahead of it and one more have ended.
+	ahead := p.ahead(workspace, weight, work).Seconds() + (1-free)*work.Seconds()
 	return Forecast{Wait: time.Duration(max(ahead, 0) / total * float64(time.Second)), Share: total}
 }
 
-// ahead is the committed work that is served before a new call of workspace:
-// no more than all of it, and no more than the workspace's own stretched by
-// its share.
-func (p *Pool) ahead(workspace string, weight int) time.Duration {
+// ahead is the committed work that is served before a new call of workspace.
+// Fair shares let every other workspace have, for each unit of weight, as much
+// as this one has, and no workspace has more than it committed.
+func (p *Pool) ahead(workspace string, weight int, work time.Duration) time.Duration {
 	if p.options.Queue == queue.Arrival {
 		return p.total.work
 	}
-	own, weights := time.Duration(0), p.total.weight
+	own := time.Duration(0)
 	if s := p.committed[workspace]; s != nil {
 		own = s.work
-	} else {
-		weights += weight
 	}
-	stretched := own.Seconds() * float64(weights) / float64(max(weight, 1))
-	return min(p.total.work, time.Duration(stretched*float64(time.Second)))
+	perWeight := float64(own+work/2) / float64(max(weight, 1))
+	ahead := own
+	for name, s := range p.committed {
+		if name != workspace {
+			ahead += min(s.work, time.Duration(perWeight*float64(s.weight)))
+		}
+	}
+	return ahead
 }
 
 func (p *Pool) usable(s *server, now time.Time, model string) bool {
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -19,6 +19,8 @@
 	// fewSamples is below which the plain mean is kept.
 	fewSamples = 10
 	maxKinds   = 4096
+	// halfLife is how fast an estimate that nothing renews fades.
+	halfLife = 2 * time.Second
 )
 
 // Estimate is a prediction.
@@ -48,6 +50,8 @@
 type series struct {
 	mean, spread, low float64
 	samples           int
+	// last is when the last time was seen.
+	last time.Time
 }
 
 // New returns an empty table.
@@ -68,6 +72,7 @@
 		t.kinds[kind] = s
 	}
 	s.samples++
+	s.last = time.Now()
 	x := d.Seconds()
 	if s.samples == 1 {
 		s.mean, s.low = x, x
@@ -92,8 +97,13 @@
 	s.low += g * (x - s.low)
 }
 
+// estimate returns the series as it counts now. What makes calls slow may have
+// passed while none were made, so the mean falls back towards low with age:
+// otherwise work that is refused for a high estimate could never lower it.
 func (s *series) estimate() Estimate {
-	return Estimate{Mean: seconds(s.mean), Spread: seconds(s.spread), Low: seconds(s.low), Samples: s.samples}
+	fresh := math.Exp2(-float64(time.Since(s.last)) / float64(halfLife))
+	mean := s.low + (s.mean-s.low)*fresh
+	return Estimate{Mean: seconds(mean), Spread: seconds(s.spread * fresh), Low: seconds(s.low), Samples: s.samples}
 }
 
 // Of returns the estimate of kind. With no sample its Mean is 0, which never
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -32,7 +32,7 @@
 
 const (
 	decrease = 0.85
-	increase = 1.0
+	increase = 0.3
 	// idleIncrease is added to increase for a server that is all idle.
 	idleIncrease = 8.0
 	// startShare times its even share is where a node starts.
@@ -40,7 +40,7 @@
 	pauseAfter = 100 * time.Millisecond
 	// queued is how far above its undisturbed time a call must take before a
 	// reported queue counts: a report may be old.
-	queued = 1.4
+	queued = 1.25
 	// slow is the same where the server reports nothing.
 	slow = 2.5
 	// pressed is the pressure from which limits are lowered.
