internal/campaign: send copies late, make each fault alone, restart engines cold

Change: a tenth of the requests is sent twice under one id to two nodes; each kind of fault also runs alone; engines are replaced without models.

--- a/internal/campaign/campaign.go
+++ b/internal/campaign/campaign.go
@@ -40,6 +40,10 @@
 	work      = 10 * time.Millisecond
 	token     = 15 * time.Millisecond
 	longTimes = "12 times"
+	// One request of doubledOf is sent twice under its id, to two nodes, the
+	// second time up to doubledLate later.
+	doubledOf   = 10
+	doubledLate = 4 * time.Second
 )
 
 // Report says what happened in one run.
@@ -68,6 +72,8 @@
 	faults  map[string]int
 	// busy marks nodes and servers that a fault has hold of.
 	busy map[string]bool
+	// doubles has the requests that were sent twice.
+	doubles []doubled
 	// listed has the servers that the host list called leaving, and when.
 	listed  []leave
 	checker *configurationChecker
@@ -173,7 +179,12 @@
 	var all sync.WaitGroup
 	for n := 0; time.Now().Before(end); n++ {
 		spec := r.spec(random, fmt.Sprintf("c%dn%d", caller, n))
-		all.Go(func() { r.do(ctx, c, spec) })
+		if random.IntN(doubledOf) == 0 {
+			late := time.Duration(random.Int64N(int64(doubledLate)))
+			all.Go(func() { r.double(ctx, c, spec, late) })
+		} else {
+			all.Go(func() { r.do(ctx, c, spec) })
+		}
 		time.Sleep(time.Duration(random.ExpFloat64() * float64(everyCall)))
 	}
 	all.Wait()
--- a/internal/campaign/campaign_test.go
+++ b/internal/campaign/campaign_test.go
@@ -45,6 +45,24 @@
 	}
 }
 
+// TestEachFaultAlone makes each kind of fault on its own, so that every check
+// that other faults would excuse applies.
+func TestEachFaultAlone(t *testing.T) {
+	for _, kind := range campaign.Kinds() {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				r, err := campaign.Run(t.Context(), campaign.Options{Seed: 1, Nodes: 5, For: 16 * time.Second, Only: kind})
+				assert.NilError(t, err)
+				for _, b := range r.Breaches {
+					t.Errorf("%s: %s", kind, b)
+				}
+				assert.Assert(t, r.Faults[kind] > 0, "got no %q, want some", kind)
+			})
+		})
+	}
+}
+
 func TestSeeds(t *testing.T) {
 	sum := &totals{faults: make(map[string]int), paths: make(map[string]int64), outcomes: make(map[string]int)}
 	t.Run("seeds", func(t *testing.T) {
--- a/internal/campaign/check.go
+++ b/internal/campaign/check.go
@@ -49,12 +49,15 @@
 	for _, h := range r.history {
 		r.checkCall(h, byInput[h.spec.Input])
 	}
+	for _, d := range r.doubles {
+		r.checkDouble(d, byInput[d.spec.Input])
+	}
 	for _, l := range r.listed {
 		r.checkLeaving(l, all)
 	}
 	for i, n := range r.site.Nodes() {
 		if d := n.Dump(); d.Running != 0 {
-			r.breach("node %d still runs %d requests: %+v", i, d.Running, d.Requests.Running)
+			r.breach("node %d still runs %d requests: %+v in pools %+v", i, d.Running, d.Requests.Running, d.Pools)
 		}
 	}
 }
@@ -66,6 +69,9 @@
 	if h.spec.Unrepeatable {
 		r.checkOnce(h, arrivals)
 	}
+	if h.err == nil && h.spec.Unrepeatable && len(arrivals) == 0 {
+		r.breach("unrepeatable %q was answered and ran nowhere", h.spec.Input)
+	}
 	if h.err == nil {
 		r.checkAnswer(h)
 	}
@@ -84,9 +90,6 @@
 			r.breach("unrepeatable %q ran stage %s %d times: %s", h.spec.Input, stage, byStage[stage], describe(arrivals))
 		}
 	}
-	if h.err == nil && len(byStage) == 0 {
-		r.breach("unrepeatable %q was answered and ran nowhere", h.spec.Input)
-	}
 }
 
 func describe(arrivals []arrival) string {
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -65,7 +65,7 @@
 						if *detail {
 							var b strings.Builder
 							o.Report.Write(&b)
-							text += "\n" + b.String()
+							text += "\n" + b.String() + seconds(o)
 						}
 						mu.Lock()
 						defer mu.Unlock()
@@ -82,6 +82,19 @@
 	}
 }
 
+// seconds lists offered and attained by the second of the offer.
+func seconds(o experiment.Outcome) string {
+	var b strings.Builder
+	for name, s := range o.Report.Sources {
+		fmt.Fprintf(&b, "%s:", name)
+		for _, second := range s.Seconds {
+			fmt.Fprintf(&b, " %d/%d", second.Attained, second.Offered)
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
 func line(o experiment.Outcome) string {
 	within, during, recovered := "", "", ""
 	if o.Within > 0 {
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -79,6 +79,8 @@
 	servers []*Server
 	closers []func()
 	callers int
+	// started says that the servers of the start have been started.
+	started bool
 }
 
 // Node is one entry host of a site.
@@ -136,6 +138,7 @@
 		s.Close()
 		return nil, err
 	}
+	s.started = true
 	for i := range o.Nodes {
 		if err := s.addNode(i); err != nil {
 			s.Close()
@@ -263,7 +266,8 @@
 	if s.Weights != nil {
 		e.Weights = s.Weights.Fetch
 	}
-	if s.options.Cold {
+	if s.options.Cold || s.started {
+		// A replaced engine comes without models: nothing of it lasts.
 		return e
 	}
 	values, _ := s.options.Site.Values()
@@ -431,6 +435,15 @@
 
 // Client returns a caller's client, at an address of its own.
 func (s *Site) Client(zone string) *client.Client {
+	bootstrap := make([]netip.AddrPort, 0, len(s.nodes))
+	for _, n := range s.nodes {
+		bootstrap = append(bootstrap, n.Caller)
+	}
+	return client.New(client.Options{Bootstrap: bootstrap, Zone: zone, Transport: s.Transport()})
+}
+
+// Transport returns how a caller connects, from an address of its own.
+func (s *Site) Transport() *http.Transport {
 	s.mu.Lock()
 	number := numberCallers + s.callers
 	s.callers++
@@ -445,11 +458,7 @@
 		DisableCompression:  true,
 	}
 	s.onClose(transport.CloseIdleConnections)
-	bootstrap := make([]netip.AddrPort, 0, len(s.nodes))
-	for _, n := range s.nodes {
-		bootstrap = append(bootstrap, n.Caller)
-	}
-	return client.New(client.Options{Bootstrap: bootstrap, Zone: zone, Transport: transport})
+	return transport
 }
 
 // Close ends everything.
