internal/node: keep a pause amid the start from undoing readiness

A pause found while the node was starting saved 'not ready', compared with peers, and wrote it back over the start's 'ready'. A node also admitted after a pause without having reached any peer.

Change: one flag for each writer; after a pause the node waits for a peer until ready-after has passed, and says so if none answers.

--- a/internal/campaign/configuration.go
+++ b/internal/campaign/configuration.go
@@ -76,7 +76,7 @@
 	for i, n := range c.run.site.Nodes() {
 		d := n.Dump()
 		if !d.Ready {
-			c.run.breach("node %d is not ready", i)
+			c.run.breach("node %d is not ready: %+v", i, d)
 		}
 		if i == 0 {
 			first = d.Configuration.Summary
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -9,8 +9,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -153,8 +155,8 @@
 	if err != nil {
 		return err
 	}
-	for key, value := range values {
-		s.Configuration.Publish(platform.SpaceConfiguration, key, value)
+	for _, key := range slices.Sorted(maps.Keys(values)) {
+		s.Configuration.Publish(platform.SpaceConfiguration, key, values[key])
 	}
 	sizes := make(map[string]int64)
 	for _, v := range values {
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -32,8 +32,11 @@
 // compared with peers again.
 type readiness struct {
 	node *Node
-	// ready is false until the node has compared.
-	ready atomic.Bool
+	// begun is set once the node has compared after its start, and recovering
+	// while it compares after a pause. Each has one writer: a pause amid the
+	// start must not undo what the start has reached.
+	begun      atomic.Bool
+	recovering atomic.Bool
 	// partial says that the node went ahead without one of the two.
 	partial atomic.Bool
 	// lastTick is when the process was last seen to run, from start.
@@ -49,7 +52,7 @@
 // ok reports whether the node may admit now. It also notices a pause that no
 // tick has noticed yet.
 func (r *readiness) ok() bool {
-	return r.ready.Load() && !r.paused()
+	return r.begun.Load() && !r.recovering.Load() && !r.paused()
 }
 
 func (r *readiness) paused() bool {
@@ -118,7 +121,7 @@
 		alone := read && len(n.view.Members()) == 0
 		if read && (met || alone) || !patient && (read || met) {
 			r.partial.Store(!read || !met && !alone)
-			r.ready.Store(true)
+			r.begun.Store(true)
 			n.log.WithField("partial", r.partial.Load()).Info("ready")
 			if !read {
 				<-platformRead
@@ -152,11 +155,20 @@
 	r.pauses.Add(1)
 	n.scope.Counter("pauses").Inc(1)
 	n.log.Warn("the process stood still; comparing with peers before admitting more")
-	wasReady := r.ready.Swap(false)
+	r.recovering.Store(true)
+	defer r.recovering.Store(false)
 	n.view.Disturb(time.Now())
-	n.gossip.Synchronise(ctx, consulted)
+	until := time.Now().Add(n.settings.ReadyAfter)
+	for ctx.Err() == nil && n.gossip.Synchronise(ctx, consulted) == 0 {
+		alone := len(n.view.Members()) == 0
+		if alone || time.Now().After(until) {
+			r.partial.Store(!alone)
+			n.log.WithField("alone", alone).Warn("no peer answers; admitting all the same")
+			break
+		}
+		wait(ctx, tickEvery)
+	}
 	n.takeHosts()
-	r.ready.Store(wasReady)
 }
 
 // mustWatch reports whether this node is one of those that watch the platform
