internal/daemon: register metrics under names that can be scraped

Cause: the first wingvaled run as a process panicked at its start: tally's own cardinality gauges have dots in their names, which the registry refuses. No test had started the real reporter. A stopped node also stayed 'leaving' for ten minutes in the others' view.

--- a/internal/campaign/campaign.go
+++ b/internal/campaign/campaign.go
@@ -1,3 +1,6 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
 package campaign
 
 import (
@@ -33,13 +36,15 @@
 const (
 	callers = 5
 	// settleFor is how long the site has to come to rest after the last fault.
-	settleFor = 30 * time.Second
+	settleFor = 15 * time.Second
 	callFor   = 45 * time.Second
 	// everyCall is the mean time between two requests of one caller.
 	everyCall = 300 * time.Millisecond
 	work      = 10 * time.Millisecond
 	token     = 15 * time.Millisecond
 	longTimes = "12 times"
+	// firstVersion is the one that the site publishes.
+	firstVersion = 7
 	// One request of doubledOf is sent twice under its id, to two nodes, the
 	// second time up to doubledLate later.
 	doubledOf   = 10
@@ -80,6 +85,8 @@
 	// disturbed is when the last fault that hides news ended.
 	disturbed time.Time
 	breaches  []string
+	// version is the last one of the model that was published.
+	version int
 	// kept has what replaced servers saw.
 	kept []arrival
 }
@@ -118,6 +125,7 @@
 		random:  rand.New(rand.NewPCG(o.Seed, 1)),
 		faults:  make(map[string]int),
 		busy:    make(map[string]bool),
+		version: firstVersion,
 	}
 	site, err := harness.New(harness.Options{
 		Site:       Site(),
--- a/internal/campaign/check.go
+++ b/internal/campaign/check.go
@@ -1,11 +1,18 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
 package campaign
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/wingvale/wingvale/internal/backend"
 	"github.com/wingvale/wingvale/internal/harness"
 	"github.com/wingvale/wingvale/internal/standin"
 	"github.com/wingvale/wingvale/verdict"
@@ -52,6 +59,9 @@
 	for _, d := range r.doubles {
 		r.checkDouble(d, byInput[d.spec.Input])
 	}
+	for _, s := range r.site.Servers("language-models") {
+		r.checkOrders(s)
+	}
 	for _, l := range r.listed {
 		r.checkLeaving(l, all)
 	}
@@ -124,6 +134,29 @@
 	}
 }
 
+// checkOrders checks that an engine was never ordered back to an older version,
+// and ended with the one that is published.
+func (r *run) checkOrders(s *harness.Server) {
+	last := 0
+	for _, o := range s.Engine.Orders() {
+		version, err := strconv.Atoi(strings.TrimPrefix(o.Version, "v"))
+		if err != nil || o.Action != backend.ActionLoad {
+			continue
+		}
+		if version < last {
+			r.breach("engine %s was ordered from v%d back to v%d", s.Address, last, version)
+		}
+		last = version
+	}
+	want := backend.Loaded{Model: "colour-guide", Version: fmt.Sprintf("v%d", r.version), Ready: true}
+	for _, l := range s.Engine.State().Models {
+		if l.Model == want.Model && l.Version == want.Version && l.Ready {
+			return
+		}
+	}
+	r.breach("engine %s ended with %+v, want %s %s", s.Address, s.Engine.State().Models, want.Model, want.Version)
+}
+
 // checkLeaving looks for new work at a server that the list called leaving, if
 // nothing hid the news.
 func (r *run) checkLeaving(l leave, all []arrival) {
--- a/internal/campaign/fault.go
+++ b/internal/campaign/fault.go
@@ -1,3 +1,6 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
 package campaign
 
 import (
@@ -45,6 +48,7 @@
 	"invalid change":    publishInvalid,
 	"removal":           publishRemoval,
 	"fork":              publishFork,
+	"model version":     publishVersion,
 }
 
 // Kinds returns the names of all faults.
@@ -395,6 +399,18 @@
 	return func() {}, time.Millisecond
 }
 
+// modelKey is the model that the engines hold.
+const modelKey = "models/colour-guide"
+
+// publishVersion publishes the next version of the model, which every engine
+// is to load.
+func publishVersion(r *run) (func(), time.Duration) {
+	r.version++
+	value := fmt.Sprintf(`{"format":1,"name":"colour-guide","version":"v%d","pool":"language-models","bytes":16000000000,"replicas":8}`, r.version)
+	r.site.Configuration.Publish(platform.SpaceConfiguration, modelKey, value)
+	return func() {}, time.Millisecond
+}
+
 // publishFork shows one node other bytes than the rest under one revision.
 func publishFork(r *run) (func(), time.Duration) {
 	n := r.site.Nodes()[r.random.IntN(len(r.site.Nodes()))]
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,12 +10,14 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	tallyprometheus "github.com/uber-go/tally/v4/prometheus"
@@ -52,12 +54,7 @@
 	if err != nil {
 		return err
 	}
-	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         prefix,
-		CachedReporter: reporter,
-		Separator:      tallyprometheus.DefaultSeparator,
-	}, reportEvery)
+	scope, scraped, closer := Metrics()
 	defer func() { _ = closer.Close() }()
 	n := node.New(node.Options{
 		Settings:       s,
@@ -66,7 +63,7 @@
 		Dial:           (&net.Dialer{}).DialContext,
 		CallerListener: callers,
 		PeerListener:   peers,
-		Metrics:        reporter.HTTPHandler(),
+		Metrics:        scraped,
 		Seed:           uint64(time.Now().UnixNano()),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -76,6 +73,25 @@
 	return n.Run(ctx)
 }
 
+// Metrics returns a scope and what serves its metrics to be scraped. The closer
+// must be closed.
+func Metrics() (tally.Scope, http.Handler, io.Closer) {
+	registry := prometheus.NewRegistry()
+	reporter := tallyprometheus.NewReporter(tallyprometheus.Options{
+		Registerer:       registry,
+		Gatherer:         registry,
+		DefaultTimerType: tallyprometheus.HistogramTimerType,
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 prefix,
+		CachedReporter:         reporter,
+		Separator:              tallyprometheus.DefaultSeparator,
+		SanitizeOptions:        &tallyprometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportEvery)
+	return scope, reporter.HTTPHandler(), closer
+}
+
 func listen(address netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", address.String())
 	if err != nil {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -169,10 +169,15 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	k := v.members[address]
-	if k == nil || k.State != StateLive {
+	if k == nil || k.State == StateSuspect || k.State == StateGone {
 		return
 	}
-	k.State = StateSuspect
+	// One that said it was leaving has left; it is not expected back.
+	if k.State == StateLeaving {
+		k.State = StateGone
+	} else {
+		k.State = StateSuspect
+	}
 	k.since, k.spreads = now, 0
 	v.undisturbed = now
 }
--- a/internal/memnet/link.go
+++ b/internal/memnet/link.go
@@ -15,6 +15,7 @@
 type link struct {
 	network  *Network
 	from, to netip.Addr
+	port     uint16
 	ends     [4]net.Conn
 	stop     chan struct{}
 	once     sync.Once
@@ -39,6 +40,7 @@
 		network: n,
 		from:    from.Addr(),
 		to:      to.Addr(),
+		port:    to.Port(),
 		ends:    [4]net.Conn{nearOuter, nearInner, farOuter, farInner},
 		stop:    make(chan struct{}),
 	}
@@ -83,6 +85,7 @@
 	for {
 		count, err := in.Read(buffer)
 		if count > 0 {
+			l.network.count(from, l.port, count)
 			p := packet{data: append([]byte(nil), buffer[:count]...), due: time.Now().Add(l.network.latency(from, to))}
 			select {
 			case packets <- p:
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -13,6 +13,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/netip"
 	"sync"
@@ -29,6 +30,8 @@
 	cuts      map[direction]bool
 	frozen    map[netip.Addr]bool
 	ports     map[netip.Addr]uint16
+	// sent counts the bytes that each host sent on connections to a port.
+	sent map[Flow]int64
 	// changed is closed and replaced when a cut or a freeze changes.
 	changed chan struct{}
 }
@@ -48,10 +51,30 @@
 		cuts:      make(map[direction]bool),
 		frozen:    make(map[netip.Addr]bool),
 		ports:     make(map[netip.Addr]uint16),
+		sent:      make(map[Flow]int64),
 		changed:   make(chan struct{}),
 	}
 }
 
+// Flow is what one host sends on connections to a port, its own or another's.
+type Flow struct {
+	From netip.Addr
+	Port uint16
+}
+
+// Sent returns how many bytes each flow has carried so far.
+func (n *Network) Sent() map[Flow]int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.sent)
+}
+
+func (n *Network) count(from netip.Addr, port uint16, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent[Flow{From: from, Port: port}] += int64(bytes)
+}
+
 func (n *Network) change(do func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -232,7 +232,7 @@
 	}
 	g.Done(o)
 	if report.Known && report.Load.Leaving {
-		n.noteLeaving(g.Server, report.Load.Instance)
+		n.NoteLeaving(g.Server, report.Load.Instance)
 	}
 	tags := map[string]string{"stage": s.Name, "pool": s.Pool, "verdict": verdict.Of(err).String()}
 	n.scope.Tagged(tags).Timer("stage").Record(work)
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -278,7 +278,7 @@
 // observe takes in what a server said of itself.
 func (p *pools) observe(h published.Host, load backend.Load, models map[string]bool) {
 	if load.Leaving {
-		p.node.noteLeaving(h.Address, load.Instance)
+		p.node.NoteLeaving(h.Address, load.Instance)
 	}
 	if pool := p.of(h.Pool); pool != nil {
 		pool.Observe(h.Address, load, models)
@@ -293,9 +293,9 @@
 	return s.EngineState, s.at, ok && s.Instance != ""
 }
 
-// noteLeaving tells the whole fleet, by the next heartbeats, that a backend
+// NoteLeaving tells the whole fleet, by the next heartbeats, that a backend
 // server is leaving.
-func (n *Node) noteLeaving(address netip.AddrPort, instance string) {
+func (n *Node) NoteLeaving(address netip.AddrPort, instance string) {
 	if n.view.MarkLeaving(time.Now(), fleet.LeavingServer{Address: address, Instance: instance}) {
 		n.log.WithField("server", address).Info("a backend server is leaving")
 		n.pools.refresh()
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -204,7 +204,7 @@
 		return
 	}
 	g.options.Scope.Counter("heartbeats_lost").Inc(1)
-	if m.State != fleet.StateLive || g.probedByOthers(ctx, m) || ctx.Err() != nil {
+	if m.State == fleet.StateGone || m.State == fleet.StateSuspect || g.probedByOthers(ctx, m) || ctx.Err() != nil {
 		return
 	}
 	g.options.Log.WithError(err).WithField("peer", m.Address).Warn("a node does not answer")
--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -87,6 +87,9 @@
 			listed = time.Time{}
 			continue
 		}
+		if err != nil && ctx.Err() != nil {
+			return
+		}
 		if err != nil {
 			w.options.Log.WithError(err).WithField("space", w.options.Space).Warn("the platform does not answer")
 			sleep(ctx, backoff+time.Duration(w.options.Random.Int64N(int64(backoff))))
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -108,12 +108,13 @@
 	r.Delete(backend.PathStreams+"{id}", e.drop)
 	r.Post(backend.PathOrders, e.order)
 	r.Get(backend.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
-		_ = wire.Write(w, http.StatusOK, e.state())
+		_ = wire.Write(w, http.StatusOK, e.State())
 	})
 	return r
 }
 
-func (e *Engine) state() backend.EngineState {
+// State returns the engine's full report.
+func (e *Engine) State() backend.EngineState {
 	l := e.load()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -377,7 +378,7 @@
 	e.take(o)
 	e.mu.Unlock()
 	e.echo(w, r)
-	_ = wire.Write(w, http.StatusOK, e.state())
+	_ = wire.Write(w, http.StatusOK, e.State())
 }
 
 // take carries an order out.
