--- a/internal/campaign/campaign_test.go
+++ b/internal/campaign/campaign_test.go
@@ -84,13 +84,13 @@
 		}
 	})
 	if *tell {
-		print(t, "fault", sum.faults)
-		print(t, "path", sum.paths)
-		print(t, "outcome", sum.outcomes)
+		tellCounts(t, "fault", sum.faults)
+		tellCounts(t, "path", sum.paths)
+		tellCounts(t, "outcome", sum.outcomes)
 	}
 }
 
-func print[N int | int64](t *testing.T, what string, counts map[string]N) {
+func tellCounts[N int | int64](t *testing.T, what string, counts map[string]N) {
 	for _, k := range slices.Sorted(maps.Keys(counts)) {
 		t.Logf("%s %s: %d", what, k, counts[k])
 	}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -64,14 +64,14 @@
 	t.Run("state", measureState)
 }
 
-// heap returns the bytes in use that make adds.
-func heap(count int, make func(i int)) float64 {
+// heap returns the bytes in use that one call of add leaves.
+func heap(count int, add func(i int)) float64 {
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	for i := range count {
-		make(i)
+		add(i)
 	}
 	runtime.GC()
 	runtime.GC()
--- a/internal/experiment/case.go
+++ b/internal/experiment/case.go
@@ -53,11 +53,11 @@
 	}
 }
 
-// spread splits a rate over all workspaces but the large one.
-func spread(pipeline string, rate func(time.Duration) float64) []flow {
+// spread splits a rate of full pipelines over all workspaces but the large one.
+func spread(rate func(time.Duration) float64) []flow {
 	var flows []flow
 	for _, w := range workspaces[:4] {
-		flows = append(flows, flow{name: pipeline + " " + w, workspace: w, pipeline: pipeline,
+		flows = append(flows, flow{name: "full " + w, workspace: w, pipeline: "full",
 			rate: func(at time.Duration) float64 { return rate(at) / 4 }})
 	}
 	return flows
@@ -74,44 +74,44 @@
 	s := farbwerk()
 	gen := s.capacity("generate")
 	cases := []Case{
-		{Name: "steady at 70%", For: 20 * time.Second, size: s, flows: spread("full", steady(0.7*gen))},
-		{Name: "steady at 70%, arhiva", For: 15 * time.Second, size: arhiva(), flows: spread("full", steady(0.7*arhiva().capacity("generate")))},
+		{Name: "steady at 70%", For: 20 * time.Second, size: s, flows: spread(steady(0.7 * gen))},
+		{Name: "steady at 70%, arhiva", For: 15 * time.Second, size: arhiva(), flows: spread(steady(0.7 * arhiva().capacity("generate")))},
 	}
 	for _, stage := range stages {
 		base := 0.6*s.capacity(stage) - 0.4*gen
 		only := flow{name: "only-" + stage, workspace: "large", pipeline: "only-" + stage, rate: burst(base, 4, calm, calm+lasts)}
 		cases = append(cases, Case{
 			Name: stage + " bursts to 4x", For: 3 * calm, size: s, from: calm, to: calm + lasts,
-			flows: append(spread("full", steady(0.4*gen)), only),
+			flows: append(spread(steady(0.4*gen)), only),
 		})
 	}
 	return append(cases,
 		Case{
 			Name: "rerank slowed 5x", For: 3 * calm, size: s, from: calm, to: calm + lasts,
-			flows: spread("full", steady(0.7*gen)), scale: map[string]float64{"rerank": 0.2},
+			flows: spread(steady(0.7 * gen)), scale: map[string]float64{"rerank": 0.2},
 			begin: setSlow("rerank", -1, 5), end: setSlow("rerank", -1, 1),
 		},
 		Case{
 			Name: "one engine slowed 5x", For: 3 * calm, size: s, from: calm, to: calm + lasts,
-			flows: spread("full", steady(0.7*gen)), scale: map[string]float64{"generate": 0.92},
+			flows: spread(steady(0.7 * gen)), scale: map[string]float64{"generate": 0.92},
 			begin: setSlow("generate", 0, 5), end: setSlow("generate", 0, 1),
 		},
 		Case{
 			Name: "one zone gone", For: 3 * calm, size: s, from: calm, to: 3 * calm,
-			flows: spread("full", steady(0.55*gen)), scale: map[string]float64{"encode": 2. / 3, "retrieve": 2. / 3, "rerank": 2. / 3, "generate": 0.6},
+			flows: spread(steady(0.55 * gen)), scale: map[string]float64{"encode": 2. / 3, "retrieve": 2. / 3, "rerank": 2. / 3, "generate": 0.6},
 			begin: killZone(s.zones[0]),
 		},
-		Case{Name: "reports late by 5 s", For: 20 * time.Second, size: s, flows: spread("full", steady(0.85*gen)), lag: 5 * time.Second},
+		Case{Name: "reports late by 5 s", For: 20 * time.Second, size: s, flows: spread(steady(0.85 * gen)), lag: 5 * time.Second},
 		Case{
 			Name: "one workspace floods", For: 3 * calm, size: s, from: calm, to: calm + lasts,
-			flows: append(spread("full", steady(0.4*gen)),
+			flows: append(spread(steady(0.4*gen)),
 				flow{name: "flood", workspace: "large", pipeline: "full", rate: burst(0.1*gen, 25, calm, calm+lasts)}),
 			within: []string{"full north", "full south", "full east", "full west"},
 		},
-		Case{Name: "cold engines", For: 4 * calm, size: s, flows: spread("full", steady(0.5*gen)), cold: true},
+		Case{Name: "cold engines", For: 4 * calm, size: s, flows: spread(steady(0.5 * gen)), cold: true},
 		Case{
 			Name: "3x overload", For: calm + long + calm, size: s, from: calm, to: calm + long,
-			flows: spread("full", burst(0.6*gen, 5, calm, calm+long)),
+			flows: spread(burst(0.6*gen, 5, calm, calm+long)),
 		},
 	)
 }
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -143,7 +143,6 @@
 // roundRobin takes each caller in turn.
 type roundRobin struct {
 	callers []*client.Client
-	random  *rand.Rand
 	turn    chan int
 }
 
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,58 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/settings"
+)
+
+const good = "[node]\ncaller = 10.0.0.1:7000\npeer = 10.0.0.1:8000\nzone = a\n[platform]\naddresses = 10.0.0.9:9000, 10.0.0.8:9000\n"
+
+func load(t *testing.T, text string) (settings.Settings, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "node.ini")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return settings.Load(path)
+}
+
+func TestGoodSettings(t *testing.T) {
+	s, err := load(t, good+"[stop]\nannounce = 1s\n")
+	assert.NilError(t, err)
+	assert.Equal(t, s.Announce, time.Second)
+	assert.Equal(t, len(s.Platform), 2)
+	assert.Equal(t, s.Hold, settings.Default().Hold)
+}
+
+func TestEveryFaultIsNamed(t *testing.T) {
+	cases := []struct {
+		name string
+		text string
+		want []string
+	}{
+		{"all that is missing", "", []string{"[node] caller is missing", "[node] peer is missing", "[node] zone is missing", "[platform] addresses is missing"}},
+		{"an unknown key and section", good + "[stop]\nanounce = 1s\n[stops]\na = 1\n", []string{"[stop] anounce is no key", "[stops] is no section"}},
+		{"a time without its unit", good + "[stop]\nannounce = 3\n", []string{`[stop] announce = "3": want a time with its unit`}},
+		{"out of range", good + "[limits]\nsubset = 0\nmax-running = many\n", []string{"[limits] subset", "1 to 4096", "[limits] max-running"}},
+		{"a name for an address", strings.Replace(good, "10.0.0.1:7000", "host:7000", 1), []string{"want an IP number and a port"}},
+		{"a contradiction", strings.Replace(good, "10.0.0.1:8000", "10.0.0.1:7000", 1), []string{"caller and peer are both"}},
+		{"a key twice", good + "[log]\nlevel = info\nlevel = debug\n", []string{"[log] level stands 2 times"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := load(t, c.text)
+			assert.Assert(t, err != nil)
+			for _, want := range c.want {
+				assert.ErrorContains(t, err, want)
+			}
+		})
+	}
+}
