--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -185,7 +185,13 @@
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	var handling sync.WaitGroup
+	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handling.Add(1)
+		defer handling.Done()
+		h.ServeHTTP(w, r)
+	})
+	server := &http.Server{Handler: counted, ReadHeaderTimeout: time.Minute}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -194,6 +200,7 @@
 	s.onClose(func() {
 		_ = server.Close()
 		<-done
+		handling.Wait()
 	})
 	return server, nil
 }
