internal/node: bound load polls; keep answers as one text

An ended answer of 495 tokens kept 495 small texts.

Change: a server is asked only if no answer has brought a report for 2 s, an engine for its models every 4 s (1 s while it loads), 8 questions a second at most. An answer is one text with the ends of its chunks. An unrepeatable call is ended by its deadline and says so.

--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -231,6 +231,9 @@
 		o.Failed = true
 	}
 	g.Done(o)
+	if report.Known {
+		n.pools.noteHeard(g.Server)
+	}
 	if report.Known && report.Load.Leaving {
 		n.NoteLeaving(g.Server, report.Load.Instance)
 	}
@@ -253,7 +256,8 @@
 // again, so it has all the time there is.
 func patience(j *job, s *step) time.Duration {
 	if j.unrepeatable {
-		return time.Until(j.deadline)
+		// A little more, so that the deadline itself is what ends the call.
+		return time.Until(j.deadline) + patienceUntold
 	}
 	if s.expected.Samples < leastSamples {
 		return patienceUntold
--- a/internal/node/placer.go
+++ b/internal/node/placer.go
@@ -26,7 +26,7 @@
 	// orders an engine that does not check who orders.
 	settled = 10 * time.Second
 	// freshState is how old an engine's report may be to base orders on.
-	freshState = 5 * time.Second
+	freshState = 2 * pollEngine
 	orderStage = "order"
 )
 
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -21,12 +21,16 @@
 )
 
 const (
-	// pollEvery is how often one backend server is asked for its load, if no
-	// answer has brought a report since.
-	pollEvery = time.Second
-	pollFor   = 500 * time.Millisecond
-	// pollsAtOnce bounds the questions of one tick.
-	pollsAtOnce = 8
+	// pollIdle is how often a backend server that sends no answers is asked
+	// for its load, pollEngine how often an engine is asked for its models, and
+	// pollLoading the same while it has none or loads one.
+	pollIdle    = 2 * time.Second
+	pollEngine  = 4 * time.Second
+	pollLoading = time.Second
+	pollFor     = 500 * time.Millisecond
+	// pollsAtOnce bounds the questions of one tick, and with it what a node
+	// spends on them however many servers there are.
+	pollsAtOnce = 2
 )
 
 // pools has the dispatch pools of one node, made as the host list names them.
@@ -41,11 +45,31 @@
 	order []netip.AddrPort
 	// states has what engines last said in full.
 	states map[netip.AddrPort]engineState
+	// heard is when an answer last brought a report.
+	heard map[netip.AddrPort]time.Time
 }
 
 type engineState struct {
 	backend.EngineState
-	at time.Time
+	// asked is when the server was last asked, at when it answered.
+	asked time.Time
+	at    time.Time
+}
+
+// interval is how often the server is to be asked.
+func (s engineState) interval(role published.Role) time.Duration {
+	if role != published.RoleEngine {
+		return pollIdle
+	}
+	for _, m := range s.Models {
+		if !m.Ready {
+			return pollLoading
+		}
+	}
+	if len(s.Models) == 0 {
+		return pollLoading
+	}
+	return pollEngine
 }
 
 func newPools(n *Node) *pools {
@@ -54,6 +78,7 @@
 		byName:  make(map[string]*dispatch.Pool),
 		servers: make(map[netip.AddrPort]published.Host),
 		states:  make(map[netip.AddrPort]engineState),
+		heard:   make(map[netip.AddrPort]time.Time),
 	}
 }
 
@@ -100,11 +125,12 @@
 			pool.SetServers(nil)
 		}
 	}
-	for address := range p.states {
-		if _, ok := p.servers[address]; !ok {
-			delete(p.states, address)
-		}
+	gone := func(address netip.AddrPort) bool {
+		_, ok := p.servers[address]
+		return !ok
 	}
+	maps.DeleteFunc(p.states, func(address netip.AddrPort, _ engineState) bool { return gone(address) })
+	maps.DeleteFunc(p.heard, func(address netip.AddrPort, _ time.Time) bool { return gone(address) })
 }
 
 func (p *pools) refreshPool(name string, hosts []published.Host) {
@@ -226,11 +252,11 @@
 	for range p.order {
 		address := p.order[0]
 		p.order = append(p.order[1:], address)
-		if now.Sub(p.states[address].at) < pollEvery {
+		if !p.isDue(address, now) {
 			continue
 		}
 		s := p.states[address]
-		s.at = now
+		s.asked = now
 		p.states[address] = s
 		due = append(due, p.servers[address])
 		if len(due) == pollsAtOnce {
@@ -240,6 +266,23 @@
 	return due
 }
 
+func (p *pools) isDue(address netip.AddrPort, now time.Time) bool {
+	role := p.servers[address].Role
+	s := p.states[address]
+	last := s.asked
+	if heard := p.heard[address]; role != published.RoleEngine && heard.After(last) {
+		last = heard
+	}
+	return now.Sub(last) >= s.interval(role)
+}
+
+// noteHeard notes that an answer has brought a report.
+func (p *pools) noteHeard(address netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard[address] = time.Now()
+}
+
 func (p *pools) ask(ctx context.Context, h published.Host) {
 	ctx, cancel := context.WithTimeout(ctx, pollFor)
 	defer cancel()
@@ -254,7 +297,8 @@
 func (p *pools) observeEngine(h published.Host, state backend.EngineState) {
 	p.mu.Lock()
 	before := p.states[h.Address].Instance
-	p.states[h.Address] = engineState{EngineState: state, at: time.Now()}
+	now := time.Now()
+	p.states[h.Address] = engineState{EngineState: state, asked: now, at: now}
 	p.mu.Unlock()
 	if before != "" && before != state.Instance {
 		p.refresh()
--- a/internal/table/run.go
+++ b/internal/table/run.go
@@ -29,9 +29,10 @@
 	version    int
 	// attempt numbers the chunks' attempt and never falls.
 	attempt int
-	chunks  []request.Chunk
-	bytes   int
-	stage   string
+	// text has the chunks' text end to end, and ends where each one ends.
+	text  []byte
+	ends  []int32
+	stage string
 	// final is set once and ends the run.
 	final   *request.Event
 	ended   time.Time
@@ -92,7 +93,7 @@
 func (r *Run) Restart() int {
 	r.change(func() {
 		r.attempt++
-		r.chunks, r.bytes = nil, 0
+		r.text, r.ends = nil, nil
 	})
 	return r.Attempt()
 }
@@ -108,12 +109,12 @@
 func (r *Run) Chunk(text string) bool {
 	fits := true
 	r.change(func() {
-		if r.bytes+len(text) > request.MaxAnswerBytes {
+		if len(r.text)+len(text) > request.MaxAnswerBytes {
 			fits = false
 			return
 		}
-		r.bytes += len(text)
-		r.chunks = append(r.chunks, request.Chunk{Attempt: r.attempt, Sequence: len(r.chunks), Text: text})
+		r.text = append(r.text, text...)
+		r.ends = append(r.ends, int32(len(r.text)))
 	})
 	return fits
 }
@@ -122,7 +123,16 @@
 func (r *Run) Chunks() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.chunks)
+	return len(r.ends)
+}
+
+// chunk returns one chunk of the answer.
+func (r *Run) chunk(i int) request.Chunk {
+	from := int32(0)
+	if i > 0 {
+		from = r.ends[i-1]
+	}
+	return request.Chunk{Attempt: r.attempt, Sequence: i, Text: string(r.text[from:r.ends[i]])}
 }
 
 // End sets the final event. Only the first one counts.
@@ -168,7 +178,7 @@
 func (r *Run) Status() request.Status {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := request.Status{ID: r.ID, State: request.StateRunning, Attempt: r.attempt, Stage: r.stage, Chunks: len(r.chunks)}
+	s := request.Status{ID: r.ID, State: request.StateRunning, Attempt: r.attempt, Stage: r.stage, Chunks: len(r.ends)}
 	if r.final == nil {
 		return s
 	}
@@ -232,11 +242,9 @@
 	if c.attempt != r.attempt {
 		c.attempt, c.next = r.attempt, 0
 	}
-	for ; c.next < len(r.chunks); c.next++ {
-		chunk := r.chunks[c.next]
-		if chunk.Attempt == r.attempt {
-			events = append(events, request.Event{Type: request.EventChunk, Chunk: &chunk})
-		}
+	for ; c.next < len(r.ends); c.next++ {
+		chunk := r.chunk(c.next)
+		events = append(events, request.Event{Type: request.EventChunk, Chunk: &chunk})
 	}
 	if r.final != nil {
 		events = append(events, *r.final)
@@ -260,8 +268,15 @@
 func (r *Run) drop() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	size := r.bytes
-	r.chunks, r.bytes, r.checkpoint = nil, 0, nil
+	size := r.size()
+	r.text, r.ends, r.checkpoint = nil, nil, nil
 	r.dropped = true
 	return size
 }
+
+const endBytes = 4
+
+// size is about what the answer takes.
+func (r *Run) size() int {
+	return len(r.text) + endBytes*len(r.ends)
+}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -216,16 +216,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	run.cancel(nil)
+	run.mu.Lock()
 	t.retained += run.size()
+	run.mu.Unlock()
 	t.order = append(t.order, run)
 }
 
-func (r *Run) size() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.bytes
-}
-
 // Sweep drops answers and runs that are past their time.
 func (t *Table) Sweep(now time.Time) {
 	t.mu.Lock()
