internal: split large files by what they hold, say things once

Cause: dispatch/pool.go, scenario.go, harness.go, gossip.go and engine.go had 430 to 590 lines and several jobs each; both stand-ins of runners read and refused a call in the same lines, and three handlers found a run in the same lines.

Change: forecast, grant and state of a pool, nodes and servers of a site, calls, faults and checks of a scenario, synchronising of peers, streams and orders of an engine stand in files of their own; accept and findOrRefuse say it once; defaults by cmp.Or.

--- /dev/null
+++ b/internal/campaign/publish.go
@@ -0,0 +1,106 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package campaign
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/wingvale/wingvale/internal/platform"
+)
+
+func platformDown(r *run) (func(), time.Duration) {
+	if !r.take("platform") {
+		return nil, 0
+	}
+	r.site.Configuration.SetDown(true)
+	after := r.between(time.Second, 20*time.Second)
+	r.hides(time.Now().Add(after))
+	return func() {
+		r.site.Configuration.SetDown(false)
+		r.release("platform")
+	}, after
+}
+
+// platformStale shows all readers, or one node, an old revision.
+func platformStale(r *run) (func(), time.Duration) {
+	if !r.take("platform") {
+		return nil, 0
+	}
+	space := platform.SpaceConfiguration
+	if r.random.IntN(2) == 0 {
+		space = platform.SpaceHosts
+	}
+	reader := netip.Addr{}
+	if r.random.IntN(2) == 0 {
+		reader = r.site.Nodes()[r.random.IntN(len(r.site.Nodes()))].Caller.Addr()
+	}
+	revision := r.site.Configuration.Revision(space)
+	r.site.Configuration.SetStale(space, reader, max(revision-min(revision-1, uint64(r.random.IntN(5))), 1))
+	after := r.between(time.Second, 20*time.Second)
+	r.hides(time.Now().Add(after))
+	return func() {
+		r.site.Configuration.SetStale(space, reader, 0)
+		r.release("platform")
+	}, after
+}
+
+func listLags(r *run) (func(), time.Duration) {
+	if !r.take("list lag") {
+		return nil, 0
+	}
+	r.site.Configuration.SetHostLag(r.between(500*time.Millisecond, 10*time.Second))
+	after := r.between(time.Second, 15*time.Second)
+	r.hides(time.Now().Add(after + 10*time.Second))
+	return func() {
+		r.site.Configuration.SetHostLag(0)
+		r.release("list lag")
+	}, after
+}
+
+// changing is the workspace whose weight changes; no request depends on it.
+const changing = "workspaces/training"
+
+func changeValue(weight int) string {
+	return fmt.Sprintf(`{"format":1,"name":"training","customer":"farbwerk","weight":%d,"pipelines":{"shade-match":{}}}`, weight)
+}
+
+func (r *run) publish(value string) (func(), time.Duration) {
+	r.site.Configuration.Publish(platform.SpaceConfiguration, changing, value)
+	return func() {}, time.Millisecond
+}
+
+func publishChange(r *run) (func(), time.Duration) {
+	return r.publish(changeValue(1 + r.random.IntN(1000)))
+}
+
+func publishInvalid(r *run) (func(), time.Duration) {
+	return r.publish(changeValue(1001 + r.random.IntN(1000)))
+}
+
+func publishRemoval(r *run) (func(), time.Duration) {
+	r.site.Configuration.Remove(platform.SpaceConfiguration, changing)
+	return func() {}, time.Millisecond
+}
+
+// modelKey is the model that the engines hold.
+const modelKey = "models/colour-guide"
+
+// publishVersion publishes the next version of the model, which every engine
+// is to load.
+func publishVersion(r *run) (func(), time.Duration) {
+	r.version++
+	value := fmt.Sprintf(`{"format":1,"name":"colour-guide","version":"v%d","pool":"language-models","bytes":16000000000,"replicas":8}`, r.version)
+	r.site.Configuration.Publish(platform.SpaceConfiguration, modelKey, value)
+	return func() {}, time.Millisecond
+}
+
+// publishFork shows one node other bytes than the rest under one revision.
+func publishFork(r *run) (func(), time.Duration) {
+	n := r.site.Nodes()[r.random.IntN(len(r.site.Nodes()))]
+	revision := r.site.Configuration.Revision(platform.SpaceConfiguration) + 1
+	r.site.Configuration.Fork(n.Caller.Addr(), changing, revision, changeValue(500))
+	return r.publish(changeValue(1 + r.random.IntN(400)))
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -4,8 +4,7 @@
 package dispatch
 
 import (
-	"context"
-	"maps"
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -19,7 +18,6 @@
 	"github.com/wingvale/wingvale/internal/choose"
 	"github.com/wingvale/wingvale/internal/limit"
 	"github.com/wingvale/wingvale/internal/queue"
-	"github.com/wingvale/wingvale/verdict"
 )
 
 // Options are a Pool's settings; zero fields take the defaults.
@@ -92,35 +90,14 @@
 	scratch  []choose.Candidate
 }
 
-type share struct {
-	work   time.Duration
-	weight int
-	count  int
-}
-
-type waiter struct {
-	task  Task
-	since time.Time
-	// grant holds one Grant at most.
-	grant chan *Grant
-	// gone says that nobody waits any more.
-	gone bool
-}
-
 // New returns a pool without servers.
 func New(options Options) *Pool {
 	if options.Choose == nil {
 		options.Choose = choose.LeastTime
 	}
-	if options.Far <= 0 {
-		options.Far = DefaultFar
-	}
-	if options.Cold <= 0 {
-		options.Cold = DefaultCold
-	}
-	if options.MaxWaiting <= 0 {
-		options.MaxWaiting = DefaultMaxWaiting
-	}
+	options.Far = cmp.Or(options.Far, DefaultFar)
+	options.Cold = cmp.Or(options.Cold, DefaultCold)
+	options.MaxWaiting = cmp.Or(options.MaxWaiting, DefaultMaxWaiting)
 	// The size is a constant above 0, so New cannot fail.
 	prefixes, _ := lru.New[uint64, netip.AddrPort](maxPrefixes)
 	return &Pool{
@@ -213,149 +190,10 @@
 	p.dispatch(now)
 }
 
-// Commit counts work of an admitted request that will come here, until the
-// returned function is called.
-func (p *Pool) Commit(workspace string, weight int, work time.Duration) (settle func()) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	own := p.committed[workspace]
-	if own == nil {
-		own = &share{}
-		p.committed[workspace] = own
-		own.weight = weight
-	}
-	own.work += work
-	own.count++
-	p.total.work += work
-	p.total.count++
-	return sync.OnceFunc(func() { p.settle(workspace, work) })
-}
-
-func (p *Pool) settle(workspace string, work time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	own := p.committed[workspace]
-	own.work -= work
-	own.count--
-	p.total.work -= work
-	p.total.count--
-	if own.count == 0 {
-		delete(p.committed, workspace)
-	}
-}
-
-// Forecast is how long a call would wait.
-type Forecast struct {
-	Wait time.Duration
-	// Share is how many calls the node may have in flight; 0 says that no
-	// server can take the call.
-	Share float64
-}
-
-// Predict returns how long a call of workspace would wait before it starts,
-// with what is committed already and the share that the workspace has.
-func (p *Pool) Predict(workspace string, weight int, model string, work time.Duration) Forecast {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	total, _ := p.collect(time.Now(), model)
-	if total == 0 {
-		return Forecast{}
-	}
-	total = max(total, 1)
-	free := max(total-float64(p.inFlight), 0)
-	// With n calls under way one ends every n-th part of a call's time; the
-	// new call starts after those ahead of it and one more have ended.
-	ahead := p.ahead(workspace, weight, work).Seconds() + (1-free)*work.Seconds()
-	return Forecast{Wait: time.Duration(max(ahead, 0) / total * float64(time.Second)), Share: total}
-}
-
-// ahead is the committed work that is served before a new call of workspace.
-// Fair shares let every other workspace have, for each unit of weight, as much
-// as this one has, and no workspace has more than it committed.
-func (p *Pool) ahead(workspace string, weight int, work time.Duration) time.Duration {
-	if p.options.Queue == queue.Arrival {
-		return p.total.work
-	}
-	own := time.Duration(0)
-	if s := p.committed[workspace]; s != nil {
-		own = s.work
-	}
-	perWeight := float64(own+work/2) / float64(max(weight, 1))
-	ahead := own
-	for name, s := range p.committed {
-		if name != workspace {
-			ahead += min(s.work, time.Duration(perWeight*float64(s.weight)))
-		}
-	}
-	return ahead
-}
-
 func (p *Pool) usable(s *server, now time.Time, model string) bool {
 	return !s.Leaving && !s.ejected(now) && s.holds(model)
 }
 
-// Grant is the right to make one call. Done must be called once.
-type Grant struct {
-	Server netip.AddrPort
-	// Instance is the run of the server that was chosen; empty if not known.
-	Instance string
-	// Waited is how long the task was in the queue.
-	Waited time.Duration
-
-	pool   *Pool
-	server *server
-}
-
-// Acquire waits for a server. It fails with NotRun, once the task's latest
-// start has passed, the queue is full, or ctx ends.
-func (p *Pool) Acquire(ctx context.Context, task Task) (*Grant, error) {
-	w, err := p.enqueue(task)
-	if err != nil {
-		return nil, err
-	}
-	late := time.NewTimer(time.Until(task.Latest))
-	defer late.Stop()
-	select {
-	case g := <-w.grant:
-		return g, nil
-	case <-late.C:
-		return p.giveUp(w, verdict.New(verdict.NotRun, verdict.ReasonDeadline, "dispatch: no server in time"))
-	case <-ctx.Done():
-		return p.giveUp(w, verdict.New(verdict.NotRun, verdict.ReasonCancelled, "dispatch: %w", context.Cause(ctx)))
-	}
-}
-
-func (p *Pool) enqueue(task Task) (*waiter, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	lane := p.lanes[task.Model]
-	if lane == nil {
-		lane = queue.New[*waiter](p.options.Queue)
-		p.lanes[task.Model] = lane
-	}
-	if lane.Len() >= p.options.MaxWaiting {
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonOverload, "dispatch: %d calls wait already", lane.Len())
-	}
-	w := &waiter{task: task, since: now, grant: make(chan *Grant, 1)}
-	lane.Push(w, task.Item)
-	p.dispatch(now)
-	return w, nil
-}
-
-// giveUp takes a waiter out. A grant that came at the same moment is used.
-func (p *Pool) giveUp(w *waiter, err error) (*Grant, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	select {
-	case g := <-w.grant:
-		return g, nil
-	default:
-		w.gone = true
-		return nil, err
-	}
-}
-
 // dispatch gives servers to waiting tasks while there are both.
 func (p *Pool) dispatch(now time.Time) {
 	for model, lane := range p.lanes {
@@ -460,132 +298,3 @@
 	}
 	return avoided
 }
-
-// Outcome is how a call went.
-type Outcome struct {
-	// Work is how long it took.
-	Work time.Duration
-	// Expected is what calls of its kind take, and Low what they take
-	// undisturbed; 0 if not known.
-	Expected time.Duration
-	Low      time.Duration
-	// Load is what the server reported with it.
-	Load  backend.Load
-	Known bool
-	// Refused says that the server was full and did not start the call.
-	Refused bool
-	// Failed says that the server is to blame for a failure, and Unreachable
-	// that it could not be connected to.
-	Failed      bool
-	Unreachable bool
-	// Ignored says that nothing can be learned, as after a cancellation.
-	Ignored bool
-}
-
-// Done gives the server back.
-func (g *Grant) Done(o Outcome) {
-	p, s := g.pool, g.server
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	busy := p.busy(now)
-	s.inFlight--
-	p.inFlight--
-	if o.Known {
-		p.report(s, now, o.Load)
-	}
-	p.learn(s, o, now, busy)
-	p.dispatch(now)
-}
-
-// busy returns what the node has of the pool, and whether it could use more.
-func (p *Pool) busy(now time.Time) occupancy {
-	o := occupancy{}
-	for _, s := range p.list {
-		if p.usable(s, now, "") {
-			o.total += s.share()
-		}
-	}
-	o.busy = p.inFlight >= whole(busyShare*o.total)
-	for _, lane := range p.lanes {
-		o.busy = o.busy || lane.Len() > 0
-	}
-	return o
-}
-
-type occupancy struct {
-	total float64
-	busy  bool
-}
-
-func (p *Pool) learn(s *server, o Outcome, now time.Time, has occupancy) {
-	if o.Ignored {
-		return
-	}
-	if o.Failed {
-		s.failed(now, o.Unreachable)
-		return
-	}
-	if !o.Refused {
-		s.succeeded()
-	}
-	sample := limit.Sample{Now: now, Work: o.Work, Low: o.Low, Mean: o.Expected, Refused: o.Refused, Busy: has.busy, Total: has.total}
-	if o.Known {
-		sample.Running, sample.Waiting, sample.Slots = o.Load.Running, o.Load.Waiting, o.Load.Slots
-	}
-	met := 0.0
-	if sample.Overloaded() {
-		met = 1
-	}
-	p.pressure += pressureGain * (met - p.pressure)
-	sample.Pressure = p.pressure
-	s.limit.Add(sample)
-}
-
-// ServerState is what the dump shows of one server.
-type ServerState struct {
-	Address  netip.AddrPort `json:"address"`
-	Zone     string         `json:"zone"`
-	Leaving  bool           `json:"leaving"`
-	Ejected  bool           `json:"ejected"`
-	InFlight int            `json:"in_flight"`
-	Limit    float64        `json:"limit"`
-	Slots    int            `json:"slots"`
-	Slowdown float64        `json:"slowdown"`
-	Served   int            `json:"served"`
-	Models   []string       `json:"models,omitempty"`
-}
-
-// State is what the dump shows of a pool.
-type State struct {
-	Waiting   int           `json:"waiting"`
-	InFlight  int           `json:"in_flight"`
-	Committed time.Duration `json:"committed_ns"`
-	Servers   []ServerState `json:"servers"`
-}
-
-// State returns at most limit servers.
-func (p *Pool) State(limit int) State {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	state := State{InFlight: p.inFlight, Committed: p.total.work}
-	for _, lane := range p.lanes {
-		state.Waiting += lane.Len()
-	}
-	for _, s := range p.list[:min(limit, len(p.list))] {
-		state.Servers = append(state.Servers, ServerState{
-			Address:  s.Address,
-			Zone:     s.Zone,
-			Leaving:  s.Leaving,
-			Ejected:  s.ejected(now),
-			InFlight: s.inFlight,
-			Limit:    s.share(),
-			Slots:    s.slots,
-			Slowdown: s.limit.Slowdown(),
-			Served:   s.served,
-			Models:   slices.Sorted(maps.Keys(s.models)),
-		})
-	}
-	return state
-}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"cmp"
 	"math/bits"
 	"math/rand/v2"
 	"net/netip"
@@ -69,15 +70,9 @@
 
 // New returns a view that knows only self.
 func New(self Member, now time.Time, options Options) *View {
-	if options.SuspectFor <= 0 {
-		options.SuspectFor = DefaultSuspectFor
-	}
-	if options.ForgetAfter <= 0 {
-		options.ForgetAfter = DefaultForgetAfter
-	}
-	if options.LeavingFor <= 0 {
-		options.LeavingFor = DefaultLeavingFor
-	}
+	options.SuspectFor = cmp.Or(options.SuspectFor, DefaultSuspectFor)
+	options.ForgetAfter = cmp.Or(options.ForgetAfter, DefaultForgetAfter)
+	options.LeavingFor = cmp.Or(options.LeavingFor, DefaultLeavingFor)
 	return &View{
 		options:     options,
 		self:        self,
--- /dev/null
+++ b/internal/harness/server.go
@@ -0,0 +1,161 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package harness
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"strconv"
+
+	"github.com/wingvale/wingvale/internal/backend"
+	"github.com/wingvale/wingvale/internal/published"
+	"github.com/wingvale/wingvale/internal/sites"
+	"github.com/wingvale/wingvale/internal/standin"
+)
+
+// Server is one backend server of a site.
+type Server struct {
+	Address  netip.AddrPort
+	Host     published.Host
+	Pool     sites.Pool
+	Instance string
+	// Engine or Runner is set.
+	Engine *standin.Engine
+	Runner *standin.Pool
+	http   *http.Server
+}
+
+// Set changes the server's knobs.
+func (s *Server) Set(change func(k *standin.Knobs)) {
+	if s.Engine != nil {
+		s.Engine.Set(change)
+		return
+	}
+	s.Runner.Set(change)
+}
+
+// Arrivals returns the calls that the server began.
+func (s *Server) Arrivals() []standin.Arrival {
+	if s.Engine != nil {
+		return s.Engine.Arrivals()
+	}
+	return s.Runner.Arrivals()
+}
+
+func (s *Site) startServers() error {
+	number := numberServers
+	for _, p := range s.options.Site.Pools {
+		for i := range p.Runners {
+			address, err := s.options.Network.Address(number, portServer)
+			if err != nil {
+				return err
+			}
+			number++
+			server := &Server{
+				Address:  address,
+				Pool:     p,
+				Instance: p.Name + "-" + strconv.Itoa(i),
+				Host: published.Host{
+					Address:      address,
+					Role:         p.Role,
+					Pool:         p.Name,
+					Zone:         s.zone(i),
+					ChecksOrders: p.Role == published.RoleEngine && !s.options.Unchecked,
+				},
+			}
+			if err := s.StartServer(server); err != nil {
+				return err
+			}
+			s.servers = append(s.servers, server)
+			if err := s.List(server.Host); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// StartServer starts a backend server at its address, as its Instance.
+func (s *Site) StartServer(server *Server) error {
+	o := standin.Options{Slots: server.Pool.Slots, Instance: server.Instance, Seed: s.options.Seed + uint64(server.Address.Port())}
+	if s.options.Knobs != nil {
+		o.Knobs = s.options.Knobs(server.Pool)
+	}
+	var handler http.Handler
+	if server.Pool.Role == published.RoleEngine {
+		server.Engine = standin.NewEngine(s.engineOptions(o))
+		handler = server.Engine.Handler()
+		s.onClose(server.Engine.Close)
+	} else {
+		server.Runner = standin.NewPool(o, s.job(server.Pool))
+		handler = server.Runner.Handler()
+	}
+	var err error
+	server.http, err = s.serve(server.Address, handler)
+	return err
+}
+
+const engineMemory = 80 << 30
+
+func (s *Site) engineOptions(o standin.Options) standin.EngineOptions {
+	e := standin.EngineOptions{Options: o, Token: s.options.Token, MemoryBytes: engineMemory, Unchecked: s.options.Unchecked}
+	if s.Weights != nil {
+		e.Weights = s.Weights.Fetch
+	}
+	if s.options.Cold || s.started {
+		// A replaced engine comes without models: nothing of it lasts.
+		return e
+	}
+	values, _ := s.options.Site.Values()
+	for key := range values {
+		var m backend.Loaded
+		var v struct {
+			Version  string   `json:"version"`
+			Adapters []string `json:"adapters"`
+			Bytes    int64    `json:"bytes"`
+			Name     string   `json:"name"`
+		}
+		if json.Unmarshal([]byte(values[key]), &v) == nil && v.Bytes > 0 {
+			m = backend.Loaded{Model: v.Name, Version: v.Version, Adapters: v.Adapters, Ready: true}
+			e.Models = append(e.Models, m)
+		}
+	}
+	return e
+}
+
+func (s *Site) job(p sites.Pool) standin.Job {
+	switch p.Stage {
+	case sites.StageEncode:
+		return standin.Encode
+	case sites.StageRetrieve:
+		return standin.Retrieve(s.options.Site.Documents)
+	case sites.StageRerank:
+		return standin.Rerank
+	default:
+		return standin.Serve(p.Name)
+	}
+}
+
+// Servers returns the backend servers of a pool, or all for the empty name.
+func (s *Site) Servers(pool string) []*Server {
+	var servers []*Server
+	for _, server := range s.servers {
+		if pool == "" || server.Pool.Name == pool {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
+
+// KillServer ends a backend server at once.
+func (s *Site) KillServer(server *Server) {
+	if m, ok := s.options.Network.(Memory); ok {
+		m.Kill(server.Address.Addr())
+	}
+	_ = server.http.Close()
+	if server.Engine != nil {
+		server.Engine.Close()
+	}
+}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -9,7 +9,10 @@
 // less than one of them, and uses the server part of the time.
 package limit
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Options bounds a Limit. Zero fields take the defaults.
 type Options struct {
@@ -88,15 +91,9 @@
 
 // New returns a limit within options.
 func New(options Options) *Limit {
-	if options.Min <= 0 {
-		options.Min = DefaultMin
-	}
-	if options.Max <= 0 {
-		options.Max = DefaultMax
-	}
-	if options.Initial <= 0 {
-		options.Initial = DefaultInitial
-	}
+	options.Min = cmp.Or(options.Min, DefaultMin)
+	options.Max = cmp.Or(options.Max, DefaultMax)
+	options.Initial = cmp.Or(options.Initial, DefaultInitial)
 	return &Limit{options: options, value: min(max(options.Initial, options.Min), options.Max), ratio: 1}
 }
 
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -171,12 +171,19 @@
 	return nil, n.forward(w, r, id, nil)
 }
 
-func (n *Node) getRequest(w http.ResponseWriter, r *http.Request) {
+// findOrRefuse returns the run that the path names, or nil where the caller has
+// been answered.
+func (n *Node) findOrRefuse(w http.ResponseWriter, r *http.Request) *table.Run {
 	run, err := n.find(w, r)
 	if err != nil {
 		n.refuse(w, err)
-		return
+		return nil
 	}
+	return run
+}
+
+func (n *Node) getRequest(w http.ResponseWriter, r *http.Request) {
+	run := n.findOrRefuse(w, r)
 	if run == nil {
 		return
 	}
@@ -199,22 +206,13 @@
 }
 
 func (n *Node) getStatus(w http.ResponseWriter, r *http.Request) {
-	run, err := n.find(w, r)
-	if err != nil {
-		n.refuse(w, err)
-		return
-	}
-	if run != nil {
+	if run := n.findOrRefuse(w, r); run != nil {
 		_ = wire.Write(w, http.StatusOK, run.Status())
 	}
 }
 
 func (n *Node) deleteRequest(w http.ResponseWriter, r *http.Request) {
-	run, err := n.find(w, r)
-	if err != nil {
-		n.refuse(w, err)
-		return
-	}
+	run := n.findOrRefuse(w, r)
 	if run == nil {
 		return
 	}
--- /dev/null
+++ b/internal/scenario/call.go
@@ -0,0 +1,136 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package scenario
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wingvale/wingvale/client"
+	"github.com/wingvale/wingvale/internal/sites"
+	"github.com/wingvale/wingvale/internal/standin"
+	"github.com/wingvale/wingvale/pipeline"
+	"github.com/wingvale/wingvale/request"
+	"github.com/wingvale/wingvale/verdict"
+)
+
+type call struct {
+	done   chan struct{}
+	spec   request.Spec
+	answer client.Answer
+	err    error
+}
+
+// send starts a request in the background:
+// send NAME WORKSPACE PIPELINE INPUT [unrepeatable] [deadline=TIME].
+func (w *World) send(args []string) error {
+	if len(args) < 4 {
+		return errUsage
+	}
+	spec := request.Spec{Workspace: args[1], Pipeline: args[2], Input: args[3]}
+	for _, a := range args[4:] {
+		if text, ok := strings.CutPrefix(a, "deadline="); ok {
+			d, err := time.ParseDuration(text)
+			if err != nil {
+				return err
+			}
+			spec.Deadline = pipeline.Duration(d)
+			continue
+		}
+		if a != "unrepeatable" {
+			return errUsage
+		}
+		spec.Unrepeatable = true
+	}
+	c := &call{done: make(chan struct{}), spec: spec}
+	w.mu.Lock()
+	w.calls[args[0]] = c
+	w.mu.Unlock()
+	caller := w.site.Client(w.site.Nodes()[0].Zone)
+	go func() {
+		defer close(c.done)
+		c.answer, c.err = caller.Do(w.ctx, spec)
+	}()
+	return nil
+}
+
+// await waits for a request and checks how it ended: await NAME answered, or
+// await NAME VERDICT REASON. An answer to a question is checked word for word.
+func (w *World) await(args []string) error {
+	if len(args) < 2 {
+		return errUsage
+	}
+	w.mu.Lock()
+	c := w.calls[args[0]]
+	w.mu.Unlock()
+	if c == nil {
+		return fmt.Errorf("no request %s", args[0])
+	}
+	select {
+	case <-c.done:
+	case <-time.After(awaitFor):
+		return fmt.Errorf("%s has not ended after %v", args[0], awaitFor)
+	}
+	if args[1] == "answered" {
+		return c.checkAnswer()
+	}
+	e := verdict.As(c.err)
+	if e == nil {
+		return fmt.Errorf("%s was answered %q", args[0], c.answer.Text)
+	}
+	got := e.Verdict.String() + " " + string(e.Reason)
+	if want := strings.Join(args[1:], " "); got != want {
+		return fmt.Errorf("got %s, want %s: %w", got, want, c.err)
+	}
+	return nil
+}
+
+func (c *call) checkAnswer() error {
+	if c.err != nil {
+		return c.err
+	}
+	if !strings.Contains(c.answer.Text, "[") {
+		if !strings.Contains(c.answer.Text, c.answer.ID.String()) {
+			return fmt.Errorf("the receipt %q is for another request", c.answer.Text)
+		}
+		return nil
+	}
+	want, err := standin.Expected(sites.Farbwerk().Documents, c.spec.Input)
+	if err != nil {
+		return err
+	}
+	if c.answer.Text != want {
+		return fmt.Errorf("got %q, want %q", c.answer.Text, want)
+	}
+	return nil
+}
+
+// arrivals checks how many calls a pool began for a request:
+// arrivals NAME POOL COUNT.
+func (w *World) arrivals(args []string) error {
+	if len(args) != 3 {
+		return errUsage
+	}
+	w.mu.Lock()
+	c := w.calls[args[0]]
+	w.mu.Unlock()
+	want, err := strconv.Atoi(args[2])
+	if c == nil || err != nil {
+		return errUsage
+	}
+	got := 0
+	for _, s := range w.site.Servers(args[1]) {
+		for _, a := range s.Arrivals() {
+			if a.Input == c.spec.Input {
+				got++
+			}
+		}
+	}
+	if got != want {
+		return fmt.Errorf("got %d, want %d", got, want)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scenario/check.go
@@ -0,0 +1,97 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package scenario
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/wingvale/wingvale/internal/node"
+)
+
+// eventually waits until check holds at each node that runs.
+func (w *World) eventually(text string, check func(d node.Dump) error) error {
+	within, err := time.ParseDuration(text)
+	if err != nil {
+		return err
+	}
+	until := time.Now().Add(within)
+	for {
+		var missing error
+		for _, n := range w.site.Nodes() {
+			select {
+			case <-n.Done():
+				continue
+			default:
+			}
+			if err := check(n.Dump()); err != nil {
+				missing = fmt.Errorf("%s: %w", n.Caller, err)
+			}
+		}
+		if missing == nil || time.Now().After(until) {
+			return missing
+		}
+		time.Sleep(look)
+	}
+}
+
+// inForce checks that a revision of a key is in force at all nodes that run,
+// within a time: inforce KEY REVISION TIME.
+func (w *World) inForce(args []string) error {
+	if len(args) != 3 {
+		return errUsage
+	}
+	want, err := strconv.ParseUint(args[1], 10, 64)
+	if err != nil {
+		return err
+	}
+	return w.eventually(args[2], func(d node.Dump) error {
+		if got := d.Configuration.Revisions[args[0]]; got != want {
+			return fmt.Errorf("holds revision %d of %s, want %d", got, args[0], want)
+		}
+		return nil
+	})
+}
+
+// member checks what all others hold of a node, within a time:
+// member node:I STATE TIME.
+func (w *World) member(args []string) error {
+	if len(args) != 3 {
+		return errUsage
+	}
+	i, ok := nodeIndex(args[0])
+	if !ok {
+		return errUsage
+	}
+	about := w.site.Nodes()[i].Caller
+	return w.eventually(args[2], func(d node.Dump) error {
+		for _, m := range d.Members {
+			if m.Address == about && m.State.String() != args[1] {
+				return fmt.Errorf("holds %s as %s, want %s", about, m.State, args[1])
+			}
+		}
+		return nil
+	})
+}
+
+// leaving checks that all nodes know within a time that a server is leaving:
+// leaving POOL:I TIME.
+func (w *World) leaving(args []string) error {
+	if len(args) != 2 {
+		return errUsage
+	}
+	s, err := w.server(args[0])
+	if err != nil {
+		return err
+	}
+	return w.eventually(args[1], func(d node.Dump) error {
+		for _, state := range d.Pools[s.Pool.Name].Servers {
+			if state.Address == s.Address && state.Leaving {
+				return nil
+			}
+		}
+		return fmt.Errorf("does not know that %s is leaving", s.Address)
+	})
+}
--- /dev/null
+++ b/internal/scenario/fault.go
@@ -0,0 +1,179 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package scenario
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wingvale/wingvale/internal/platform"
+	"github.com/wingvale/wingvale/internal/standin"
+)
+
+// crash ends hosts at once: crash NAME...
+func (w *World) crash(args []string) error {
+	for _, name := range args {
+		if i, ok := nodeIndex(name); ok {
+			w.site.KillNode(i)
+			continue
+		}
+		s, err := w.server(name)
+		if err != nil {
+			return err
+		}
+		w.site.KillServer(s)
+	}
+	return nil
+}
+
+// restart starts killed or stopped hosts anew: restart NAME...
+func (w *World) restart(args []string) error {
+	for _, name := range args {
+		if i, ok := nodeIndex(name); ok {
+			if err := w.site.StartNode(i); err != nil {
+				return err
+			}
+			continue
+		}
+		s, err := w.server(name)
+		if err != nil {
+			return err
+		}
+		s.Instance += "+"
+		if err := w.site.StartServer(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drain begins a planned stop, or waits for its end: drain node:I [wait].
+func (w *World) drain(args []string) error {
+	if len(args) < 1 {
+		return errUsage
+	}
+	i, ok := nodeIndex(args[0])
+	if !ok {
+		return errUsage
+	}
+	n := w.site.Nodes()[i]
+	n.Stop()
+	if len(args) == 1 {
+		return nil
+	}
+	select {
+	case <-n.Done():
+		return nil
+	case <-time.After(awaitFor):
+		return fmt.Errorf("%s has not stopped after %v", args[0], awaitFor)
+	}
+}
+
+func (w *World) freeze(args []string, frozen bool) error {
+	for _, name := range args {
+		hosts, err := w.hosts(name)
+		if err != nil {
+			return err
+		}
+		w.network.Freeze(hosts[0], frozen)
+	}
+	return nil
+}
+
+// cut holds back what goes from one host to another: cut FROM TO [both].
+func (w *World) cut(args []string) error {
+	if len(args) < 2 {
+		return errUsage
+	}
+	from, err1 := w.hosts(args[0])
+	to, err2 := w.hosts(args[1])
+	if err := errors.Join(err1, err2); err != nil {
+		return err
+	}
+	w.network.Cut(from[0], to[0])
+	if len(args) > 2 {
+		w.network.Cut(to[0], from[0])
+	}
+	return nil
+}
+
+func (w *World) heal([]string) error {
+	w.network.HealAll()
+	return nil
+}
+
+// set changes a server's behaviour: set POOL:I KNOB VALUE.
+func (w *World) set(args []string) error {
+	if len(args) != 3 {
+		return errUsage
+	}
+	s, err := w.server(args[0])
+	if err != nil {
+		return err
+	}
+	x, err := strconv.ParseFloat(args[2], 64)
+	if err != nil {
+		return err
+	}
+	known := true
+	s.Set(func(k *standin.Knobs) {
+		switch args[1] {
+		case "fail":
+			k.Fail = x
+		case "hang":
+			k.Hang = x
+		case "refuse":
+			k.Refuse = x
+		case "mislabel":
+			k.Mislabel = x
+		case "cut":
+			k.Cut = x
+		case "slow":
+			k.Slow = x
+		case "leaving":
+			k.Leaving = x > 0
+		default:
+			known = false
+		}
+	})
+	if !known {
+		return errUsage
+	}
+	return nil
+}
+
+// platform makes the service answer, answer nothing, or answer as of a
+// revision: platform up | down | stale REVISION [node:I] | fresh [node:I].
+func (w *World) platform(args []string) error {
+	c := w.site.Configuration
+	reader := netip.Addr{}
+	if len(args) > 1 && strings.HasPrefix(args[len(args)-1], "node:") {
+		hosts, err := w.hosts(args[len(args)-1])
+		if err != nil {
+			return err
+		}
+		reader = hosts[0]
+	}
+	switch {
+	case len(args) == 0:
+		return errUsage
+	case args[0] == "up" || args[0] == "down":
+		c.SetDown(args[0] == "down")
+	case args[0] == "fresh":
+		c.SetStale(platform.SpaceConfiguration, reader, 0)
+	case args[0] == "stale" && len(args) > 1:
+		revision, err := strconv.ParseUint(args[1], 10, 64)
+		if err != nil {
+			return err
+		}
+		c.SetStale(platform.SpaceConfiguration, reader, revision)
+	default:
+		return errUsage
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/order.go
@@ -0,0 +1,73 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"net/http"
+	"slices"
+
+	"github.com/wingvale/wingvale/internal/backend"
+	"github.com/wingvale/wingvale/internal/wire"
+	"github.com/wingvale/wingvale/request"
+)
+
+// Orders returns the orders that were taken.
+func (e *Engine) Orders() []backend.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	o, err := wire.ReadLoose[backend.Order](r.Body, request.MaxBodyBytes)
+	if err != nil {
+		e.refuse(w, r, http.StatusBadRequest, err.Error())
+		return
+	}
+	e.mu.Lock()
+	if o.Fence <= e.fence && !e.options.Unchecked {
+		e.mu.Unlock()
+		e.refuse(w, r, http.StatusConflict, "an order with this fence or a higher one was taken")
+		return
+	}
+	e.fence = max(e.fence, o.Fence)
+	e.orders = append(e.orders, o)
+	e.take(o)
+	e.mu.Unlock()
+	e.echo(w, r)
+	_ = wire.Write(w, http.StatusOK, e.State())
+}
+
+// take carries an order out.
+func (e *Engine) take(o backend.Order) {
+	switch o.Action {
+	case backend.ActionRole:
+		e.role = o.Role
+	case backend.ActionUnload:
+		e.models = slices.DeleteFunc(e.models, func(l backend.Loaded) bool { return l.Model == o.Model })
+	case backend.ActionLoad:
+		e.models = slices.DeleteFunc(e.models, func(l backend.Loaded) bool { return l.Model == o.Model })
+		e.models = append(e.models, backend.Loaded{Model: o.Model, Version: o.Version, Adapters: o.Adapters})
+		e.loads.Go(func() { e.fetch(o) })
+	}
+}
+
+func (e *Engine) fetch(o backend.Order) {
+	size := int64(0)
+	if e.options.Weights != nil {
+		var err error
+		size, err = e.options.Weights(e.ctx, o.Model, o.Version)
+		if err != nil {
+			return
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sizes[o.Model] = size
+	for i := range e.models {
+		if e.models[i].Model == o.Model && e.models[i].Version == o.Version {
+			e.models[i].Ready = true
+		}
+	}
+}
--- a/internal/standin/pool.go
+++ b/internal/standin/pool.go
@@ -13,7 +13,6 @@
 
 	"github.com/wingvale/wingvale/internal/backend"
 	"github.com/wingvale/wingvale/internal/wire"
-	"github.com/wingvale/wingvale/request"
 )
 
 // Job is the work of a pool or a plain service: a result from the call.
@@ -63,20 +62,8 @@
 }
 
 func (p *Pool) serve(w http.ResponseWriter, r *http.Request) {
-	k := p.get()
-	named, err := call(r)
-	if err != nil {
-		p.refuse(w, r, http.StatusBadRequest, err.Error())
-		return
-	}
-	body, err := wire.ReadLoose[backend.StageCall](r.Body, request.MaxBodyBytes)
-	if err != nil {
-		p.refuse(w, r, http.StatusBadRequest, err.Error())
-		return
-	}
-	_, waiting := p.slots.counts(0)
-	if k.Leaving || p.chance(k.Refuse) || p.maxWaiting > 0 && waiting >= p.maxWaiting {
-		p.refuse(w, r, http.StatusServiceUnavailable, "full or leaving")
+	named, body, ok := accept[backend.StageCall](p.server, w, r, p.maxWaiting)
+	if !ok {
 		return
 	}
 	if err := p.slots.enter(r.Context(), 0); err != nil {
@@ -84,14 +71,14 @@
 	}
 	defer p.slots.leave()
 	arrival := p.arrived(named, body.Input)
-	if p.chance(k.Hang) {
+	if p.chance(p.get().Hang) {
 		<-r.Context().Done()
 		return
 	}
 	time.Sleep(p.work())
 	result, err := p.job(body)
 	p.finished(arrival)
-	if err != nil || p.chance(k.Fail) {
+	if err != nil || p.chance(p.get().Fail) {
 		p.fail(w, r, "failed")
 		return
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -105,6 +105,27 @@
 	return backend.Call{Request: id, Stage: r.Header.Get(backend.HeaderStage), Attempt: attempt}, err
 }
 
+// accept reads a call's name and body, or refuses it and reports false.
+func accept[T any](s *server, w http.ResponseWriter, r *http.Request, maxWaiting int) (backend.Call, T, bool) {
+	named, err := call(r)
+	if err != nil {
+		s.refuse(w, r, http.StatusBadRequest, err.Error())
+		return named, *new(T), false
+	}
+	body, err := wire.ReadLoose[T](r.Body, request.MaxBodyBytes)
+	if err != nil {
+		s.refuse(w, r, http.StatusBadRequest, err.Error())
+		return named, body, false
+	}
+	k := s.get()
+	_, waiting := s.slots.counts(0)
+	if k.Leaving || s.chance(k.Refuse) || maxWaiting > 0 && waiting >= maxWaiting {
+		s.refuse(w, r, http.StatusServiceUnavailable, "full or leaving")
+		return named, body, false
+	}
+	return named, body, true
+}
+
 // echo names the call on its answer.
 func (s *server) echo(w http.ResponseWriter, r *http.Request) {
 	for _, name := range []string{backend.HeaderRequest, backend.HeaderStage, backend.HeaderAttempt} {
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -4,6 +4,7 @@
 package table
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -70,18 +71,10 @@
 
 // New returns an empty table of a new incarnation of the node at address.
 func New(address netip.AddrPort, options Options) *Table {
-	if options.IDsValid <= 0 {
-		options.IDsValid = DefaultIDsValid
-	}
-	if options.Retain <= 0 {
-		options.Retain = DefaultRetain
-	}
-	if options.MaxRuns <= 0 {
-		options.MaxRuns = DefaultMaxRuns
-	}
-	if options.MaxRetained <= 0 {
-		options.MaxRetained = DefaultMaxRetained
-	}
+	options.IDsValid = cmp.Or(options.IDsValid, DefaultIDsValid)
+	options.Retain = cmp.Or(options.Retain, DefaultRetain)
+	options.MaxRuns = cmp.Or(options.MaxRuns, DefaultMaxRuns)
+	options.MaxRetained = cmp.Or(options.MaxRetained, DefaultMaxRetained)
 	t := &Table{options: options, address: address, start: time.Now(), runs: make(map[request.ID]*Run), refused: make(map[request.ID]refusal)}
 	// crypto/rand.Read never fails: it ends the process instead.
 	_, _ = rand.Read(t.key[:])
