internal/dispatch: follow engines' cache events

Cause: prefix affinity knew one server for each prefix, the one sent to last, and nothing of what engines drop.

Change: engines publish what they store and drop, late and with gaps; nodes read it along with the load and keep up to 16 holders of a prefix; an engine that has just answered counts as a holder. A wrong belief costs 20 ms of preference.

--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -7,12 +7,16 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"iter"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strconv"
+	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/wingvale/wingvale/internal/wire"
@@ -220,6 +224,50 @@
 	return get[EngineState](ctx, c, call.Server, PathLoad, stateLimit)
 }
 
+// CacheEvent says that an engine has stored a prompt's prefix, or dropped it.
+type CacheEvent struct {
+	// Sequence grows by one from event to event of one instance.
+	Sequence uint64 `json:"seq"`
+	// Stored is false where the prefix was dropped.
+	Stored bool `json:"stored"`
+	// Prefix names the prefix, as PrefixOf does.
+	Prefix uint64 `json:"prefix,string"`
+}
+
+// CacheEvents answers what happened after a sequence number. Events may be
+// late, and some may be missing.
+type CacheEvents struct {
+	Events []CacheEvent `json:"events"`
+	// Next is the sequence number to ask after next.
+	Next uint64 `json:"next"`
+}
+
+// Check bounds the events.
+func (e CacheEvents) Check() error {
+	if len(e.Events) > maxCacheEvents {
+		return fmt.Errorf("backend: %d cache events, at most %d are allowed", len(e.Events), maxCacheEvents)
+	}
+	return nil
+}
+
+const maxCacheEvents = 4096
+
+// PrefixOf names the prefix of a prompt: the XXH64 of the model, a zero byte,
+// the adapter, a zero byte, and the prompt's first line with its line end. A
+// prompt without a line end has none, and 0 is returned.
+func PrefixOf(model, adapter, prompt string) uint64 {
+	end := strings.IndexByte(prompt, '\n')
+	if end < 0 {
+		return 0
+	}
+	return xxhash.Sum64String(model + "\x00" + adapter + "\x00" + prompt[:end+1])
+}
+
+// Cache asks an engine for its cache events after a sequence number.
+func (c *Client) Cache(ctx context.Context, server netip.AddrPort, after uint64) (CacheEvents, error) {
+	return get[CacheEvents](ctx, c, server, PathCacheEvents+"?after="+strconv.FormatUint(after, 10), stateLimit)
+}
+
 // Action is what an order asks an engine to do.
 type Action string
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -45,6 +45,7 @@
 	DefaultCold       = 20 * time.Millisecond
 	DefaultMaxWaiting = 10000
 	maxPrefixes       = 4096
+	maxHolders        = 16
 	// backgroundShare is the part of a pool's limit that background work may
 	// fill.
 	backgroundShare = 0.75
@@ -84,8 +85,10 @@
 	// pressure follows the share of calls that met a queue inside a server.
 	pressure float64
 	// sharers is how many nodes use each server of the pool.
-	sharers  int
-	prefixes *lru.Cache[uint64, netip.AddrPort]
+	sharers int
+	// prefixes has the servers that hold a prompt's prefix, as far as cache
+	// events and answers have told. It may be wrong, which costs time only.
+	prefixes *lru.Cache[uint64, []netip.AddrPort]
 	random   *rand.Rand
 	scratch  []choose.Candidate
 }
@@ -99,7 +102,7 @@
 	options.Cold = cmp.Or(options.Cold, DefaultCold)
 	options.MaxWaiting = cmp.Or(options.MaxWaiting, DefaultMaxWaiting)
 	// The size is a constant above 0, so New cannot fail.
-	prefixes, _ := lru.New[uint64, netip.AddrPort](maxPrefixes)
+	prefixes, _ := lru.New[uint64, []netip.AddrPort](maxPrefixes)
 	return &Pool{
 		options:   options,
 		servers:   make(map[netip.AddrPort]*server),
@@ -162,9 +165,23 @@
 	p.dispatch(time.Now())
 }
 
-// Warm notes that a server holds a prompt's prefix.
-func (p *Pool) Warm(prefix uint64, address netip.AddrPort) {
-	p.prefixes.Add(prefix, address)
+// Warm notes that a server holds a prompt's prefix, or that it does not.
+func (p *Pool) Warm(prefix uint64, address netip.AddrPort, warm bool) {
+	if prefix == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	holders, _ := p.prefixes.Get(prefix)
+	i := slices.Index(holders, address)
+	switch {
+	case warm && i < 0:
+		// A copy: the old list may be read elsewhere.
+		holders = append(slices.Clone(holders), address)
+		p.prefixes.Add(prefix, holders[max(len(holders)-maxHolders, 0):])
+	case !warm && i >= 0:
+		p.prefixes.Add(prefix, slices.Delete(slices.Clone(holders), i, i+1))
+	}
 }
 
 func (p *Pool) report(s *server, now time.Time, load backend.Load) {
@@ -220,9 +237,6 @@
 	p.inFlight++
 	s.inFlight++
 	s.served++
-	if w.task.Prefix != 0 {
-		p.prefixes.Add(w.task.Prefix, s.Address)
-	}
 	w.grant <- &Grant{Server: s.Address, Instance: s.Instance, Waited: now.Sub(w.since), pool: p, server: s}
 	return true
 }
@@ -267,9 +281,9 @@
 
 // choose picks from scratch, in which at least one candidate is free.
 func (p *Pool) choose(task Task) *server {
-	if warm, ok := p.prefixes.Get(task.Prefix); ok && task.Prefix != 0 {
+	if holders, ok := p.prefixes.Get(task.Prefix); ok && task.Prefix != 0 {
 		for i, s := range p.list {
-			p.scratch[i].Warm = s.Address == warm
+			p.scratch[i].Warm = slices.Contains(holders, s.Address)
 		}
 	}
 	costs := choose.Costs{Work: task.Cost, Far: p.options.Far, Cold: p.options.Cold}
--- a/internal/node/generate.go
+++ b/internal/node/generate.go
@@ -10,8 +10,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/wingvale/wingvale/internal/backend"
 	"github.com/wingvale/wingvale/request"
 	"github.com/wingvale/wingvale/verdict"
@@ -43,10 +41,7 @@
 // that an engine that holds it is preferred.
 func (j *job) prefix(s *step) uint64 {
 	head, _, _ := strings.Cut(s.Prompt, "{")
-	if head == "" {
-		return 0
-	}
-	return xxhash.Sum64String(s.Model + "\x00" + s.Adapter + "\x00" + head)
+	return backend.PrefixOf(s.Model, s.Adapter, head)
 }
 
 // generate runs an engine stage. If it is the last one, its text goes to the
@@ -66,6 +61,8 @@
 	for tries := 0; ; tries++ {
 		err = n.readStream(ctx, j, stream, last, &text)
 		if err == nil {
+			// Whatever its events say, the engine has just had the prefix.
+			s.pool.Warm(j.prefix(s), call.Server, true)
 			result, marshalErr := json.Marshal(text.String())
 			return result, report, marshalErr
 		}
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -47,6 +47,8 @@
 	states map[netip.AddrPort]engineState
 	// heard is when an answer last brought a report.
 	heard map[netip.AddrPort]time.Time
+	// cursors has how far each engine's cache events have been read.
+	cursors map[netip.AddrPort]cacheCursor
 }
 
 type engineState struct {
@@ -79,6 +81,7 @@
 		servers: make(map[netip.AddrPort]published.Host),
 		states:  make(map[netip.AddrPort]engineState),
 		heard:   make(map[netip.AddrPort]time.Time),
+		cursors: make(map[netip.AddrPort]cacheCursor),
 	}
 }
 
@@ -130,6 +133,7 @@
 		return !ok
 	}
 	maps.DeleteFunc(p.states, func(address netip.AddrPort, _ engineState) bool { return gone(address) })
+	maps.DeleteFunc(p.cursors, func(address netip.AddrPort, _ cacheCursor) bool { return gone(address) })
 	maps.DeleteFunc(p.heard, func(address netip.AddrPort, _ time.Time) bool { return gone(address) })
 }
 
@@ -291,6 +295,38 @@
 		return
 	}
 	p.observeEngine(h, state)
+	if h.Role == published.RoleEngine {
+		p.askCache(ctx, h, state.Instance)
+	}
+}
+
+// cacheCursor is how far the cache events of one engine's run have been read.
+type cacheCursor struct {
+	instance string
+	after    uint64
+}
+
+// askCache reads an engine's cache events. They are late and have gaps, so what
+// they tell is a preference and no more.
+func (p *pools) askCache(ctx context.Context, h published.Host, instance string) {
+	p.mu.Lock()
+	cursor := p.cursors[h.Address]
+	pool := p.byName[h.Pool]
+	p.mu.Unlock()
+	if cursor.instance != instance {
+		cursor = cacheCursor{instance: instance}
+	}
+	seen, err := p.node.backends.Cache(ctx, h.Address, cursor.after)
+	if err != nil || pool == nil {
+		return
+	}
+	for _, e := range seen.Events {
+		pool.Warm(e.Prefix, h.Address, e.Stored)
+	}
+	cursor.after = seen.Next
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cursors[h.Address] = cursor
 }
 
 // observeEngine takes in a server's full report.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -43,12 +43,12 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	loads   sync.WaitGroup
+	cache   cache
 
 	mu      sync.Mutex
 	streams map[string]*stream
 	models  []backend.Loaded
 	sizes   map[string]int64
-	prefix  map[string]bool
 	role    string
 	fence   uint64
 	orders  []backend.Order
@@ -69,7 +69,6 @@
 		streams: make(map[string]*stream),
 		models:  slices.Clone(o.Models),
 		sizes:   make(map[string]int64),
-		prefix:  make(map[string]bool),
 	}
 }
 
@@ -86,6 +85,7 @@
 	r.Get(backend.PathStreams+"{id}", e.resume)
 	r.Delete(backend.PathStreams+"{id}", e.drop)
 	r.Post(backend.PathOrders, e.order)
+	r.Get(backend.PathCacheEvents, e.cacheEvents)
 	r.Get(backend.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
 		_ = wire.Write(w, http.StatusOK, e.State())
 	})
@@ -146,10 +146,8 @@
 		changed: make(chan struct{}),
 	}
 	e.streams[s.id] = s
-	head, _, _ := strings.Cut(body.Prompt, "\n")
-	cached := e.prefix[head]
-	e.prefix[head] = true
 	e.mu.Unlock()
+	cached := e.cache.use(backend.PrefixOf(body.Model, body.Adapter, body.Prompt), e.chance(e.get().EventGap))
 	e.loads.Go(func() {
 		defer e.slots.leave()
 		e.generate(ctx, s, body, cached)
--- a/internal/standin/knobs.go
+++ b/internal/standin/knobs.go
@@ -29,6 +29,10 @@
 	Cut float64
 	// ReportLag is how old the load is that answers report.
 	ReportLag time.Duration
+	// EventLag is how late cache events are shown, and EventGap the share of
+	// them that is lost.
+	EventLag time.Duration
+	EventGap float64
 	// Silent leaves the load report out of answers.
 	Silent bool
 	// Leaving makes the server say that it is leaving and refuse new calls.
