--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -129,6 +130,10 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	spec, err := wire.Read[request.Spec](r.Body, request.MaxBodyBytes)
+	if errors.Is(err, wire.ErrTooLarge) {
+		n.refuse(w, verdict.New(verdict.NotRun, verdict.ReasonTooLarge, "%w", err))
+		return
+	}
 	if err != nil {
 		n.refuse(w, verdict.New(verdict.NotRun, verdict.ReasonBadRequest, "%w", err))
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -224,7 +223,7 @@
 		})
 	}
 	serve(peerServer, n.options.PeerListener)
-	serve(callerServer, &boundedListener{Listener: n.options.CallerListener, slots: make(chan struct{}, n.settings.MaxCallers)})
+	serve(callerServer, newBoundedListener(n.options.CallerListener, n.settings.MaxCallers))
 
 	partsCtx, stopParts := context.WithCancel(ctx)
 	defer stopParts()
@@ -286,37 +285,6 @@
 	_ = s.Close()
 }
 
-// boundedListener accepts no more connections than it has slots.
-type boundedListener struct {
-	net.Listener
-	slots chan struct{}
-}
-
-func (l *boundedListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		select {
-		case l.slots <- struct{}{}:
-			return &boundedConn{Conn: conn, free: sync.OnceFunc(func() { <-l.slots })}, nil
-		default:
-			_ = conn.Close()
-		}
-	}
-}
-
-type boundedConn struct {
-	net.Conn
-	free func()
-}
-
-func (c *boundedConn) Close() error {
-	defer c.free()
-	return c.Conn.Close()
-}
-
 // listed reports whether the host list has an entry host at address.
 func (n *Node) listed(address netip.AddrPort) bool {
 	h, ok := n.hosts.Get(address.String())
@@ -350,8 +318,6 @@
 	n.pools.refresh()
 }
 
-var _ io.Closer = (*boundedConn)(nil)
-
 // Leaving reports whether a planned stop has begun.
 func (n *Node) Leaving() bool {
 	return n.leaving.Load()
