internal/node: let each step settle its own work

Cause: a stage looked for its own index among the steps to take its committed work back.

Change: a step holds its settle function; background work is not committed.

Conclusion: one line where there were a loop and a slice.

--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -42,7 +42,6 @@
 	// sends numbers the calls.
 	sends  int
 	costs  []request.StageCost
-	settle []func()
 	digest request.Digest
 	// tookUp says that the checkpoint's stream was tried.
 	tookUp bool
@@ -50,7 +49,8 @@
 
 // start runs an admitted request in the background.
 func (n *Node) start(run *table.Run, p *plan) {
-	j := &job{plan: p, run: run, settle: p.commit(), digest: request.NewDigest()}
+	p.commit()
+	j := &job{plan: p, run: run, digest: request.NewDigest()}
 	attempt := 1
 	if c := p.spec.Resume; c != nil {
 		attempt = c.Attempt + 1
@@ -78,16 +78,11 @@
 func (n *Node) execute(ctx context.Context, j *job) {
 	ctx, cancel := context.WithDeadlineCause(ctx, j.deadline, errDeadline)
 	defer cancel()
-	defer func() {
-		for _, settle := range j.settle {
-			settle()
-		}
-	}()
+	defer j.settle()
 	for i := j.start; i < len(j.steps); i++ {
 		s := &j.steps[i]
 		j.run.Stage(s.Name)
 		result, err := n.stage(ctx, j, s, i == len(j.steps)-1)
-		j.settle[i]()
 		if err != nil {
 			n.fail(ctx, j, s, err)
 			return
@@ -117,7 +112,7 @@
 		if err != nil {
 			return nil, j.sentBefore(err)
 		}
-		j.settleStep(s)
+		s.settle()
 		begin := time.Now()
 		cost.Attempts++
 		cost.Server = g.Server
@@ -135,15 +130,6 @@
 	}
 }
 
-// settleStep takes the stage's part of the committed work back: it has begun.
-func (j *job) settleStep(s *step) {
-	for i := range j.steps {
-		if &j.steps[i] == s {
-			j.settle[i]()
-		}
-	}
-}
-
 // sentBefore makes a NotRun of this stage Unknown for the request if anything
 // of the request was sent before.
 func (j *job) sentBefore(err error) error {
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -40,6 +40,9 @@
 	// what most requests need beyond that.
 	rest   time.Duration
 	margin time.Duration
+	// settle takes back what is committed at the pool for this stage. It may
+	// be called any number of times, and is never nil.
+	settle func()
 }
 
 // newPlan resolves spec against the values in force. It fails with NotRun.
@@ -88,7 +91,7 @@
 
 func (n *Node) newStep(t pipeline.Template, s pipeline.Stage) step {
 	kind := t.Name + "/" + s.Name + "/" + s.Model
-	return step{Stage: s, pool: n.pools.of(s.Pool), kind: kind, expected: n.estimates.Of(kind)}
+	return step{Stage: s, pool: n.pools.of(s.Pool), kind: kind, expected: n.estimates.Of(kind), settle: func() {}}
 }
 
 // resume moves the start past the stages that the caller's checkpoint has.
@@ -163,15 +166,20 @@
 	return d + time.Duration(n.random.Int64N(int64(d)/2+1))
 }
 
-// commit counts the plan's work at the pools that it will come to, and returns
-// how each stage's part is taken back.
-func (p *plan) commit() []func() {
-	settle := make([]func(), len(p.steps))
-	for i, s := range p.steps {
-		settle[i] = func() {}
-		if i >= p.start && s.pool != nil && !p.background() {
-			settle[i] = s.pool.Commit(p.workspace.Name, p.workspace.Weight, s.expected.Mean)
+// commit counts the plan's work at the pools that it will come to. Background
+// work is not counted: it yields to all other.
+func (p *plan) commit() {
+	for i := range p.steps {
+		s := &p.steps[i]
+		if i >= p.start && !p.background() {
+			s.settle = s.pool.Commit(p.workspace.Name, p.workspace.Weight, s.expected.Mean)
 		}
 	}
-	return settle
+}
+
+// settle takes all of it back that has not begun.
+func (p *plan) settle() {
+	for _, s := range p.steps {
+		s.settle()
+	}
 }
