internal/node: fence orders by the revision that they are based on

The order took its version from the models read at the round's start and its fence from the configuration at the time of sending, which had moved on meanwhile. Values also spread one by one, so the highest revision a node has seen does not say that it has the keys below it.

Change: a store knows the revision up to which it has every key, from the service or from a peer that holds the same; the fence has that revision, taken before the models are read, and an order that says anything newer waits.

--- a/internal/campaign/configuration.go
+++ b/internal/campaign/configuration.go
@@ -85,7 +85,7 @@
 			first = d.Configuration.Summary
 			continue
 		}
-		if d.Configuration.Summary != first {
+		if !d.Configuration.Summary.Same(first) {
 			c.run.breach("node %d holds %v, node 0 %v", i, d.Configuration.Summary, first)
 		}
 	}
--- a/internal/node/placer.go
+++ b/internal/node/placer.go
@@ -16,6 +16,7 @@
 	"github.com/wingvale/wingvale/internal/owner"
 	"github.com/wingvale/wingvale/internal/place"
 	"github.com/wingvale/wingvale/internal/published"
+	"github.com/wingvale/wingvale/pipeline"
 	"github.com/wingvale/wingvale/verdict"
 )
 
@@ -57,16 +58,26 @@
 // round sends this node's part of the next orders, one at a time.
 func (p *placer) round(ctx context.Context) {
 	n := p.node
+	// The revision is taken before the models: what the fence claims must not
+	// be newer than what the order says.
+	through := n.configuration.Summary().Through
 	models := n.models()
 	engines := p.engines()
 	nodes := n.liveNodes()
 	for _, step := range place.Steps(models, engines) {
-		if owner.Of(nodes, step.Engine.String()) == n.settings.Caller {
-			p.order(ctx, step)
+		if owner.Of(nodes, step.Engine.String()) == n.settings.Caller && p.known(step, through) {
+			p.order(ctx, step, through)
 		}
 	}
 }
 
+// known reports whether the order says nothing newer than a revision up to
+// which the node has every key. Then no owner with that revision, or a later
+// one, can hold an older value.
+func (p *placer) known(step place.Step, through uint64) bool {
+	return p.node.configuration.Revision(pipeline.PrefixModel+step.Model) <= through
+}
+
 // engines returns what the engines that the node uses have reported lately.
 func (p *placer) engines() []place.Engine {
 	n := p.node
@@ -93,7 +104,7 @@
 // is worth nothing if this node has been paused or cut off meanwhile: an engine
 // that checks refuses it by its fence, and for one that does not check the view
 // must have been undisturbed.
-func (p *placer) order(ctx context.Context, step place.Step) {
+func (p *placer) order(ctx context.Context, step place.Step, through uint64) {
 	n := p.node
 	h, ok := n.pools.host(step.Engine)
 	if !ok || !h.ChecksOrders && n.view.Undisturbed(time.Now()) < settled {
@@ -106,7 +117,7 @@
 	if err != nil {
 		return
 	}
-	fence, ok := place.Fence(state.Fence, n.configuration.Summary().Revision)
+	fence, ok := place.Fence(state.Fence, through)
 	if !ok || !n.ready.ok() || time.Since(begin) > pausedAfter {
 		return
 	}
--- a/internal/peer/space.go
+++ b/internal/peer/space.go
@@ -18,6 +18,7 @@
 	Newer(sums []uint64, versions map[string]published.Version) (newer []published.Entry, wanted []string)
 	Entries(keys ...string) []published.Entry
 	Offer(entries ...published.Entry) []published.Entry
+	Complete(through uint64)
 }
 
 // Spaces has the store of each space.
@@ -35,19 +36,25 @@
 	summaries := make([]*peerpb.Summary, 0, len(s))
 	for space, store := range s {
 		summary := store.Summary()
-		summaries = append(summaries, &peerpb.Summary{Space: space, Revision: summary.Revision, Sum: summary.Sum})
+		summaries = append(summaries, &peerpb.Summary{Space: space, Revision: summary.Revision, Sum: summary.Sum, Through: summary.Through})
 	}
 	return summaries
 }
 
-// differing returns the spaces in which a peer holds something else.
+// differing returns the spaces in which a peer holds something else. Where it
+// holds the same, this node has every key that the peer has.
 func (s Spaces) differing(summaries []*peerpb.Summary) []peerpb.Space {
 	var spaces []peerpb.Space
 	for _, m := range summaries {
 		store, ok := s[m.GetSpace()]
-		if ok && store.Summary().Sum != m.GetSum() {
+		if !ok {
+			continue
+		}
+		if !store.Summary().Same(published.Summary{Sum: m.GetSum()}) {
 			spaces = append(spaces, m.GetSpace())
+			continue
 		}
+		store.Complete(m.GetThrough())
 	}
 	return spaces
 }
--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -29,6 +29,7 @@
 type Store interface {
 	Offer(entries ...published.Entry) []published.Entry
 	OfferListing(l published.Listing) []published.Entry
+	Complete(through uint64)
 }
 
 // Accepted is called with entries that came into force by a read.
@@ -118,6 +119,7 @@
 		}
 		listing := published.Listing{Revision: values.Revision, Entries: values.Entries()}
 		w.accept(w.options.Store.OfferListing(listing))
+		w.options.Store.Complete(values.Revision)
 		return values.Revision, nil
 	}
 	values, err := w.options.Client.Watch(ctx, w.options.Space, after)
@@ -125,6 +127,7 @@
 		return 0, err
 	}
 	w.accept(w.options.Store.Offer(values.Entries()...))
+	w.options.Store.Complete(values.Revision)
 	return values.Revision, nil
 }
 
--- a/internal/published/store.go
+++ b/internal/published/store.go
@@ -26,6 +26,14 @@
 	Revision uint64 `json:"revision"`
 	// Sum combines all entries in force.
 	Sum uint64 `json:"sum"`
+	// Through is the revision up to which the store has every key. Keys with
+	// higher revisions may be there before others that are lower.
+	Through uint64 `json:"through"`
+}
+
+// Same reports whether both hold the same entries.
+func (s Summary) Same(other Summary) bool {
+	return s.Sum == other.Sum
 }
 
 // Rejection tells why an entry is not in force.
@@ -49,6 +57,8 @@
 	// sums has the combined hash of each bucket of held.
 	sums     [Buckets]uint64
 	revision uint64
+	// through is the revision up to which every key is held. It never falls.
+	through uint64
 	// conflicts counts equal revisions that came with different bytes.
 	conflicts int
 	// changed is closed and replaced when an entry comes into force.
@@ -168,6 +178,21 @@
 	return s.Offer(entries...)
 }
 
+// Complete notes that the store has every key up to a revision: the service
+// said so, or a peer that holds the same.
+func (s *Store[V]) Complete(through uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.through = max(s.through, through)
+}
+
+// Revision returns the revision in force of key, 0 for none.
+func (s *Store[V]) Revision(key string) uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.held[key].entry.Revision
+}
+
 // Get returns the value in force under key.
 func (s *Store[V]) Get(key string) (V, bool) {
 	s.mu.RLock()
@@ -207,7 +232,7 @@
 func (s *Store[V]) Summary() Summary {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	sum := Summary{Revision: s.revision}
+	sum := Summary{Revision: s.revision, Through: s.through}
 	for _, b := range s.sums {
 		sum.Sum ^= b
 	}
