internal/node: let probes through old estimates; refresh at a server's first report

Change: one request in 2 s passes against an estimate that is older than 2 s; a server's first report refreshes the pools; the campaign waits 25 s at its end.

--- a/internal/campaign/campaign.go
+++ b/internal/campaign/campaign.go
@@ -36,7 +36,7 @@
 const (
 	callers = 5
 	// settleFor is how long the site has to come to rest after the last fault.
-	settleFor = 15 * time.Second
+	settleFor = 25 * time.Second
 	callFor   = 45 * time.Second
 	// everyCall is the mean time between two requests of one caller.
 	everyCall = 300 * time.Millisecond
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -118,6 +118,18 @@
 	return s.estimate()
 }
 
+// Age returns how long ago a time of kind was last seen; the zero time ago, that
+// is very long, where none was.
+func (t *Table) Age(kind string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.kinds[kind]
+	if s == nil {
+		return time.Since(time.Time{})
+	}
+	return time.Since(s.last)
+}
+
 // All returns a copy of the table, for the dump.
 func (t *Table) All() map[string]Estimate {
 	t.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,8 @@
 	random *rand.Rand
 	// caughtUp is when the last catch-up began.
 	caughtUp time.Time
+	// probed is when a request was last let through to learn of a kind of work.
+	probed map[string]time.Time
 
 	stop chan struct{}
 	done chan struct{}
@@ -124,6 +126,7 @@
 		runCtx:        runCtx,
 		endRuns:       endRuns,
 		random:        random,
+		probed:        make(map[string]time.Time),
 		stop:          make(chan struct{}),
 		done:          make(chan struct{}),
 	}
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -154,10 +154,36 @@
 	if total <= left || n.options.Policy.AdmitAll {
 		return nil
 	}
+	if n.probe(p) {
+		return nil
+	}
 	after := min(max(total-left, minRetryAfter), maxRetryAfter)
 	return verdict.New(verdict.NotRun, verdict.ReasonOverload, "node: would take %v of %v", total.Round(time.Millisecond), left.Round(time.Millisecond)).After(n.jitter(after))
 }
 
+// probeAfter is how old an estimate must be before one request is let through
+// against it, and how long until the next.
+const probeAfter = 2 * time.Second
+
+// probe lets a request through that the estimates speak against, where they are
+// old: what made calls slow may have passed, and only a call can tell.
+func (n *Node) probe(p *plan) bool {
+	for _, s := range p.steps[p.start:] {
+		if n.estimates.Age(s.kind) < probeAfter {
+			continue
+		}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if time.Since(n.probed[s.kind]) < probeAfter {
+			return false
+		}
+		n.probed[s.kind] = time.Now()
+		n.scope.Counter("probes").Inc(1)
+		return true
+	}
+	return false
+}
+
 // jitter spreads d by up to a half more, so that refused callers do not come
 // back all at once.
 func (n *Node) jitter(d time.Duration) time.Duration {
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -336,7 +336,8 @@
 	now := time.Now()
 	p.states[h.Address] = engineState{EngineState: state, asked: now, at: now}
 	p.mu.Unlock()
-	if before != "" && before != state.Instance {
+	if before != state.Instance {
+		// Whether the server counts as leaving depends on which run it is.
 		p.refresh()
 	}
 	p.observe(h, state.Load(), modelsOf(h, state))
