internal/estimate: forget what is old, and keep time-outs apart from it

Change: an estimate that nothing renews is forgotten with a half-life of 10 s; time-outs and slowdowns go by what was last seen, which does not fade, so that a rare call is not cut short.

--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -21,6 +21,9 @@
 	maxKinds   = 4096
 	// halfLife is how fast an estimate that nothing renews fades.
 	halfLife = 2 * time.Second
+	// forgetLife is how fast it is forgotten altogether: a node that has only
+	// ever met a slow server knows nothing of the others.
+	forgetLife = 10 * time.Second
 )
 
 // Estimate is a prediction.
@@ -31,15 +34,13 @@
 	Spread time.Duration
 	// Low is what an undisturbed call takes: near the shortest seen lately.
 	Low time.Duration
+	// Typical is what most calls took when they were last seen. Unlike Mean and
+	// Spread it does not fade.
+	Typical time.Duration
 	// Samples is how many times were seen; 0 means that Mean is a guess.
 	Samples int
 }
 
-// Likely returns a time that most calls keep.
-func (e Estimate) Likely() time.Duration {
-	return e.Mean + e.Spread
-}
-
 // Table keeps one estimate for each kind of work. It is safe for concurrent
 // use and holds a bounded number of kinds.
 type Table struct {
@@ -101,9 +102,17 @@
 // passed while none were made, so the mean falls back towards low with age:
 // otherwise work that is refused for a high estimate could never lower it.
 func (s *series) estimate() Estimate {
-	fresh := math.Exp2(-float64(time.Since(s.last)) / float64(halfLife))
-	mean := s.low + (s.mean-s.low)*fresh
-	return Estimate{Mean: seconds(mean), Spread: seconds(s.spread * fresh), Low: seconds(s.low), Samples: s.samples}
+	age := float64(time.Since(s.last))
+	fresh := math.Exp2(-age / float64(halfLife))
+	known := math.Exp2(-age / float64(forgetLife))
+	mean := known * (s.low + (s.mean-s.low)*fresh)
+	return Estimate{
+		Mean:    seconds(mean),
+		Spread:  seconds(s.spread * fresh),
+		Low:     seconds(s.low),
+		Typical: seconds(s.mean + s.spread),
+		Samples: s.samples,
+	}
 }
 
 // Of returns the estimate of kind. With no sample its Mean is 0, which never
--- /dev/null
+++ b/internal/estimate/estimate_test.go
@@ -0,0 +1,48 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package estimate_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/estimate"
+)
+
+func TestEstimateFollowsAndFades(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := estimate.New()
+		assert.Equal(t, table.Of("k"), estimate.Estimate{}, "nothing is known yet")
+		for range 50 {
+			table.Add("k", 100*time.Millisecond)
+		}
+		assert.Equal(t, table.Of("k").Mean, 100*time.Millisecond)
+		for range 50 {
+			table.Add("k", time.Second)
+		}
+		slow := table.Of("k")
+		assert.Assert(t, slow.Mean > 900*time.Millisecond, "got %v", slow.Mean)
+		assert.Assert(t, slow.Low < 500*time.Millisecond, "got %v", slow.Low)
+		time.Sleep(6 * time.Second)
+		faded := table.Of("k")
+		assert.Assert(t, faded.Mean < slow.Mean/2, "got %v: what was slow may have passed", faded.Mean)
+		assert.Equal(t, faded.Typical, slow.Typical, "a time-out must not fade")
+	})
+}
+
+// TestANodeThatOnlyMetASlowServerForgetsIt is campaign seed 1581: everything of
+// a kind was refused 25 s after the slow server was sound again.
+func TestANodeThatOnlyMetASlowServerForgetsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := estimate.New()
+		for range 5 {
+			table.Add("k", 4*time.Second)
+		}
+		time.Sleep(25 * time.Second)
+		assert.Assert(t, table.Of("k").Mean < time.Second, "got %v", table.Of("k").Mean)
+	})
+}
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -204,7 +204,7 @@
 
 // learn tells the pool and the estimates how a call went.
 func (n *Node) learn(ctx context.Context, s *step, g *dispatch.Grant, report backend.Report, work time.Duration, err error) {
-	o := dispatch.Outcome{Work: work, Expected: s.expected.Mean, Low: s.expected.Low, Load: report.Load, Known: report.Known}
+	o := dispatch.Outcome{Work: work, Expected: s.expected.Typical, Low: s.expected.Low, Load: report.Load, Known: report.Known}
 	switch {
 	case err == nil:
 		n.estimates.Add(s.kind, work)
@@ -253,7 +253,7 @@
 	if s.expected.Samples < leastSamples {
 		return patienceUntold
 	}
-	likely := slowest * s.expected.Likely()
+	likely := slowest * s.expected.Typical
 	if j.background() {
 		return max(likely, patienceUntold)
 	}
