internal/node, client: never take the last checkpoint for an answer

Cause: found by reading: the last stage also wrote a checkpoint. A caller that got it but not the end of its answer, and whose node then died, went on at another node with nothing left to run, and was told a whole answer without text. And a caller that had seen no checkpoint went on elsewhere under the same attempt, so that chunks of two runs could not be told apart but by the digest.

Change: no checkpoint after the last stage, one that names it is refused; the client always resumes with the highest attempt it has seen.

Conclusion: a whole answer needs a stage that wrote it.

--- a/client/call.go
+++ b/client/call.go
@@ -189,8 +189,8 @@
 func (c *call) send(ctx context.Context, node netip.AddrPort) (*request.Done, error) {
 	c.node = node
 	spec := c.spec
-	if c.sent && c.repeatable && c.checkpoint != nil {
-		spec.Resume = c.checkpoint
+	if c.sent && c.repeatable && c.attempt > 0 {
+		spec.Resume = c.resume()
 	}
 	body, err := json.Marshal(spec)
 	if err != nil {
@@ -220,6 +220,17 @@
 	return c.read(&watched{Reader: response.Body, silent: silent})
 }
 
+// resume returns where another node may go on. Its attempt is the highest seen,
+// so that what the other node tells replaces what is held.
+func (c *call) resume() *request.Checkpoint {
+	resume := request.Checkpoint{}
+	if c.checkpoint != nil {
+		resume = *c.checkpoint
+	}
+	resume.Attempt = c.attempt
+	return &resume
+}
+
 // connectionError judges a failure to get an answer: a failure to connect
 // leaves things as they are, everything else may have begun the request.
 func (c *call) connectionError(err error) error {
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -82,11 +82,16 @@
 	for i := j.start; i < len(j.steps); i++ {
 		s := &j.steps[i]
 		j.run.Stage(s.Name)
-		result, err := n.stage(ctx, j, s, i == len(j.steps)-1)
+		last := i == len(j.steps)-1
+		result, err := n.stage(ctx, j, s, last)
 		if err != nil {
 			n.fail(ctx, j, s, err)
 			return
 		}
+		if last {
+			// There is nothing to go on with: the answer itself follows.
+			break
+		}
 		j.previous, j.finished = result, s.Name
 		j.checkpoint(nil)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -24,6 +24,7 @@
 	"github.com/wingvale/wingvale/internal/sites"
 	"github.com/wingvale/wingvale/internal/standin"
 	"github.com/wingvale/wingvale/request"
+	"github.com/wingvale/wingvale/verdict"
 )
 
 var stranger = netip.MustParseAddr("10.200.0.1")
@@ -152,6 +153,27 @@
 	})
 }
 
+// TestACheckpointOfTheLastStageIsNoAnswer guards against an answer without text
+// that would pass for whole: nothing would be left to run.
+func TestACheckpointOfTheLastStageIsNoAnswer(t *testing.T) {
+	bubble(t, func(t *testing.T, s *harness.Site, _ func() (net.Conn, error)) {
+		spec := request.Spec{Workspace: "decorators", Pipeline: "catalogue-lookup", Input: "grey"}
+		spec.Resume = &request.Checkpoint{Attempt: 1, Finished: "lookup", Result: []byte(`"x"`)}
+		_, err := s.Client("").Do(t.Context(), spec)
+		assert.ErrorContains(t, err, "no stage follows")
+		assert.Equal(t, verdict.Of(err), verdict.Unknown)
+
+		body := strings.NewReader(`{"workspace":"decorators","pipeline":"catalogue-lookup","input":"grey"}`)
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.Nodes()[0].Caller.String()+"/v1/requests", body)
+		assert.NilError(t, err)
+		response, err := s.Transport().RoundTrip(r)
+		assert.NilError(t, err)
+		text, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Assert(t, !strings.Contains(string(text), "event: checkpoint"), "got %s", text)
+	})
+}
+
 func TestReattachStatusAndCancel(t *testing.T) {
 	bubble(t, func(t *testing.T, s *harness.Site, _ func() (net.Conn, error)) {
 		caller := s.Client("")
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -19,7 +19,8 @@
 	spec      request.Spec
 	workspace pipeline.Workspace
 	template  pipeline.Template
-	// start is the first stage to run; those before it have finished.
+	// start is the first stage to run, always one of the steps; those before it
+	// have finished.
 	start int
 	steps []step
 	// begin and deadline bound the request.
@@ -102,13 +103,13 @@
 	if c.Finished == "" {
 		return nil
 	}
-	for i, s := range p.steps {
+	for i, s := range p.steps[:len(p.steps)-1] {
 		if s.Name == c.Finished {
 			p.start = i + 1
 			return nil
 		}
 	}
-	return verdict.New(verdict.Unknown, verdict.ReasonBadRequest, "node: the checkpoint's stage %s is not in the pipeline", c.Finished)
+	return verdict.New(verdict.Unknown, verdict.ReasonBadRequest, "node: no stage follows the checkpoint's %s in the pipeline", c.Finished)
 }
 
 // margins is how many mean deviations of its work a request is given beyond
@@ -117,9 +118,6 @@
 const margins = 3
 
 func (p *plan) margin() time.Duration {
-	if p.start >= len(p.steps) {
-		return 0
-	}
 	return p.steps[p.start].margin
 }
 
