--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -73,39 +73,46 @@
 		t.kinds[kind] = s
 	}
 	s.samples++
+	forgotten := 1 - s.known()
 	s.last = time.Now()
 	x := d.Seconds()
 	if s.samples == 1 {
 		s.mean, s.low = x, x
 		return
 	}
-	s.lower(x)
+	s.lower(x, forgotten)
 	g := gain
 	if s.samples < fewSamples {
 		g = 1 / float64(s.samples)
 	}
+	// What is mostly forgotten must not come back with the next sample.
+	g = max(g, forgotten)
 	s.spread += g * (math.Abs(x-s.mean) - s.spread)
 	s.mean += g * (x - s.mean)
 }
 
 // lower moves low towards shorter times quickly and towards longer ones
 // slowly.
-func (s *series) lower(x float64) {
-	g := lowRise
+func (s *series) lower(x, forgotten float64) {
+	g := max(lowRise, forgotten)
 	if x < s.low {
-		g = lowFall
+		g = max(lowFall, forgotten)
 	}
 	s.low += g * (x - s.low)
 }
 
+// known is how much of the series still counts, 1 right after a sample.
+func (s *series) known() float64 {
+	return math.Exp2(-float64(time.Since(s.last)) / float64(forgetLife))
+}
+
 // estimate returns the series as it counts now. What makes calls slow may have
 // passed while none were made, so the mean falls back towards low with age:
 // otherwise work that is refused for a high estimate could never lower it.
 func (s *series) estimate() Estimate {
 	age := float64(time.Since(s.last))
 	fresh := math.Exp2(-age / float64(halfLife))
-	known := math.Exp2(-age / float64(forgetLife))
-	mean := known * (s.low + (s.mean-s.low)*fresh)
+	mean := s.known() * (s.low + (s.mean-s.low)*fresh)
 	return Estimate{
 		Mean:    seconds(mean),
 		Spread:  seconds(s.spread * fresh),
--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -44,5 +44,12 @@
 		}
 		time.Sleep(25 * time.Second)
 		assert.Assert(t, table.Of("k").Mean < time.Second, "got %v", table.Of("k").Mean)
+		// Seeds 1346 and 784: the next sample must not bring it back.
+		table.Add("k", 300*time.Millisecond)
+		assert.Assert(t, table.Of("k").Mean < 1500*time.Millisecond, "got %v", table.Of("k").Mean)
+		for range 3 {
+			table.Add("k", 300*time.Millisecond)
+		}
+		assert.Assert(t, table.Of("k").Mean < 900*time.Millisecond, "got %v", table.Of("k").Mean)
 	})
 }
