--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -46,14 +46,25 @@
 	err io.Writer
 }
 
+// exited ends the parsing where kong would end the process, as after the help.
+type exited int
+
 // Main runs the command line and returns its exit code.
-func Main(args []string, out, errOut io.Writer) int {
+func Main(args []string, out, errOut io.Writer) (code int) {
+	defer func() {
+		r := recover()
+		if e, ok := r.(exited); ok {
+			code = int(e)
+		} else if r != nil {
+			panic(r)
+		}
+	}()
 	var a arguments
 	parser, err := kong.New(&a,
 		kong.Name("wingvale"),
 		kong.Description("Operates and calls wingvale.\n\nExit codes: 0 done, 1 failed, 2 bad usage or settings, 3 the request did not run, 4 it may have run."),
 		kong.Writers(out, errOut),
-		kong.Exit(func(int) {}),
+		kong.Exit(func(code int) { panic(exited(code)) }),
 		kong.UsageOnError(),
 	)
 	if err != nil {
@@ -65,9 +76,6 @@
 		_, _ = fmt.Fprintln(errOut, "wingvale:", err)
 		return ExitUsage
 	}
-	if ctx.Command() == "" || ctx.Error != nil {
-		return ExitDone
-	}
 	if err := ctx.Run(&output{out: out, err: errOut}); err != nil {
 		_, _ = fmt.Fprintln(errOut, err)
 		return exitCode(err)
