internal/estimate: forget deviations along with the times

The first sample after a long pause was measured against the forgotten mean, and left a deviation of seconds, three times which is added as margin.

Change: before a sample counts, mean, low and deviation are moved by as much as they are forgotten.

--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -72,31 +72,42 @@
 		s = &series{}
 		t.kinds[kind] = s
 	}
+	x := d.Seconds()
+	s.forget(x)
 	s.samples++
-	forgotten := 1 - s.known()
 	s.last = time.Now()
-	x := d.Seconds()
 	if s.samples == 1 {
 		s.mean, s.low = x, x
 		return
 	}
-	s.lower(x, forgotten)
+	s.lower(x)
 	g := gain
 	if s.samples < fewSamples {
 		g = 1 / float64(s.samples)
 	}
-	// What is mostly forgotten must not come back with the next sample.
-	g = max(g, forgotten)
 	s.spread += g * (math.Abs(x-s.mean) - s.spread)
 	s.mean += g * (x - s.mean)
 }
 
+// forget moves the series towards x by as much as it no longer counts, so that
+// what was forgotten does not come back with the next sample, neither as a time
+// nor as a deviation from it.
+func (s *series) forget(x float64) {
+	if s.samples == 0 {
+		return
+	}
+	forgotten := 1 - s.known()
+	s.mean += forgotten * (x - s.mean)
+	s.low += forgotten * (x - s.low)
+	s.spread *= 1 - forgotten
+}
+
 // lower moves low towards shorter times quickly and towards longer ones
 // slowly.
-func (s *series) lower(x, forgotten float64) {
-	g := max(lowRise, forgotten)
+func (s *series) lower(x float64) {
+	g := lowRise
 	if x < s.low {
-		g = max(lowFall, forgotten)
+		g = lowFall
 	}
 	s.low += g * (x - s.low)
 }
--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -46,7 +46,10 @@
 		assert.Assert(t, table.Of("k").Mean < time.Second, "got %v", table.Of("k").Mean)
 		// Seeds 1346 and 784: the next sample must not bring it back.
 		table.Add("k", 300*time.Millisecond)
-		assert.Assert(t, table.Of("k").Mean < 1500*time.Millisecond, "got %v", table.Of("k").Mean)
+		e := table.Of("k")
+		assert.Assert(t, e.Mean < 1500*time.Millisecond, "got %v", e.Mean)
+		// Seed 7: nor may it come back as a deviation from what is forgotten.
+		assert.Assert(t, e.Spread < 300*time.Millisecond, "got %v", e.Spread)
 		for range 3 {
 			table.Add("k", 300*time.Millisecond)
 		}
