--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/internal/wire"
 	"github.com/wingvale/wingvale/request"
 	"github.com/wingvale/wingvale/verdict"
@@ -47,15 +48,15 @@
 
 // Report is what an answer says beside its content.
 type Report struct {
-	Load  Load
+	Load  protocol.Load
 	Known bool
 }
 
 // Stage calls a pool or a plain service and returns its result. The report is
 // valid also where an error is returned.
-func (c *Client) Stage(ctx context.Context, call Call, body StageCall) (json.RawMessage, Report, error) {
+func (c *Client) Stage(ctx context.Context, call Call, body protocol.StageCall) (json.RawMessage, Report, error) {
 	body.Request, body.Stage, body.Attempt = call.Request, call.Stage, call.Attempt
-	response, err := c.post(ctx, call, PathStages+call.Stage, body)
+	response, err := c.post(ctx, call, protocol.PathStages+call.Stage, body)
 	if err != nil {
 		return nil, Report{}, err
 	}
@@ -64,7 +65,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, report, refusal(response)
 	}
-	answer, err := wire.ReadLoose[StageAnswer](response.Body, MaxResultBytes)
+	answer, err := wire.ReadLoose[protocol.StageAnswer](response.Body, protocol.MaxResultBytes)
 	if err != nil {
 		return nil, report, verdict.New(verdict.Unknown, verdict.ReasonBadAnswer, "backend: %s: %w", call.Server, err)
 	}
@@ -100,12 +101,12 @@
 }
 
 func setHeaders(r *http.Request, call Call) {
-	r.Header.Set(HeaderRequest, call.Request.String())
-	r.Header.Set(HeaderStage, call.Stage)
-	r.Header.Set(HeaderAttempt, strconv.Itoa(call.Attempt))
+	r.Header.Set(protocol.HeaderRequest, call.Request.String())
+	r.Header.Set(protocol.HeaderStage, call.Stage)
+	r.Header.Set(protocol.HeaderAttempt, strconv.Itoa(call.Attempt))
 	if !call.Deadline.IsZero() {
 		left := max(time.Until(call.Deadline).Milliseconds(), 0)
-		r.Header.Set(HeaderDeadline, strconv.FormatInt(left, 10))
+		r.Header.Set(protocol.HeaderDeadline, strconv.FormatInt(left, 10))
 	}
 }
 
@@ -113,18 +114,18 @@
 // refusal meant for another must not pass as "not started" either.
 func checkEcho(response *http.Response, call Call) error {
 	h := response.Header
-	if h.Get(HeaderRequest) == call.Request.String() &&
-		h.Get(HeaderStage) == call.Stage &&
-		h.Get(HeaderAttempt) == strconv.Itoa(call.Attempt) {
+	if h.Get(protocol.HeaderRequest) == call.Request.String() &&
+		h.Get(protocol.HeaderStage) == call.Stage &&
+		h.Get(protocol.HeaderAttempt) == strconv.Itoa(call.Attempt) {
 		return nil
 	}
 	return verdict.New(verdict.Unknown, verdict.ReasonBadAnswer,
 		"backend: %s echoed request %.80q stage %.80q attempt %.20q", call.Server,
-		h.Get(HeaderRequest), h.Get(HeaderStage), h.Get(HeaderAttempt))
+		h.Get(protocol.HeaderRequest), h.Get(protocol.HeaderStage), h.Get(protocol.HeaderAttempt))
 }
 
 func reportOf(response *http.Response) Report {
-	load, known := ParseLoad(response.Header)
+	load, known := protocol.ParseLoad(response.Header)
 	return Report{Load: load, Known: known}
 }
 
@@ -133,9 +134,9 @@
 // refusal turns an answer that is not 200 into an error. It is NotRun only if
 // the server says that the call did not start.
 func refusal(response *http.Response) error {
-	body, _ := wire.ReadLoose[Refusal](response.Body, refusalLimit)
+	body, _ := wire.ReadLoose[protocol.Refusal](response.Body, refusalLimit)
 	v, reason := verdict.Unknown, verdict.ReasonServerFailed
-	if response.Header.Get(HeaderNotStarted) == "true" {
+	if response.Header.Get(protocol.HeaderNotStarted) == "true" {
 		v, reason = verdict.NotRun, verdict.ReasonRefused
 	}
 	e := verdict.New(v, reason, "backend: status %d: %.200s", response.StatusCode, body.Error)
--- a/internal/backend/engine.go
+++ b/internal/backend/engine.go
@@ -7,18 +7,16 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"iter"
 	"net/http"
 	"net/netip"
 	"net/url"
 	"strconv"
-	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/tmaxmax/go-sse"
 
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/internal/wire"
 	"github.com/wingvale/wingvale/pipeline"
 	"github.com/wingvale/wingvale/verdict"
@@ -32,7 +30,7 @@
 	Offset int
 	Text   string
 	// Usage is set on the last piece.
-	Usage *CompletionUsage
+	Usage *protocol.CompletionUsage
 }
 
 // Stream is an engine's answer under way. Close must be called.
@@ -49,9 +47,9 @@
 }
 
 // Complete starts a completion. An error says whether it may have started.
-func (c *Client) Complete(ctx context.Context, call Call, body Completion) (*Stream, Report, error) {
+func (c *Client) Complete(ctx context.Context, call Call, body protocol.Completion) (*Stream, Report, error) {
 	body.Stream = true
-	response, err := c.post(ctx, call, PathCompletions, body)
+	response, err := c.post(ctx, call, protocol.PathCompletions, body)
 	if err != nil {
 		return nil, Report{}, err
 	}
@@ -61,7 +59,7 @@
 // Resume goes on with the stream id at the piece with the given offset. It
 // starts nothing, so it may be repeated.
 func (c *Client) Resume(ctx context.Context, call Call, id string, offset int) (*Stream, Report, error) {
-	path := PathStreams + url.PathEscape(id) + "?from=" + strconv.Itoa(offset)
+	path := protocol.PathStreams + url.PathEscape(id) + "?from=" + strconv.Itoa(offset)
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+call.Server.String()+path, http.NoBody)
 	if err != nil {
 		return nil, Report{}, verdict.New(verdict.Unknown, verdict.ReasonInternal, "backend: %w", err)
@@ -86,7 +84,7 @@
 
 // Cancel ends the stream id at the engine.
 func (c *Client) Cancel(ctx context.Context, call Call, id string) error {
-	path := "http://" + call.Server.String() + PathStreams + url.PathEscape(id)
+	path := "http://" + call.Server.String() + protocol.PathStreams + url.PathEscape(id)
 	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, path, http.NoBody)
 	if err != nil {
 		return err
@@ -106,7 +104,7 @@
 		defer drain(response.Body)
 		return nil, report, refusal(response)
 	}
-	id := response.Header.Get(HeaderStream)
+	id := response.Header.Get(protocol.HeaderStream)
 	if id == "" || len(id) > pipeline.MaxNameBytes || want != "" && id != want {
 		_ = response.Body.Close()
 		return nil, report, verdict.New(verdict.Unknown, verdict.ReasonBadAnswer, "backend: %s names stream %.80q", call.Server, id)
@@ -139,7 +137,7 @@
 				yield(Piece{}, verdict.New(verdict.Unknown, verdict.ReasonConnection, "backend: %s: %w", s.server, err))
 				return
 			}
-			if event.Data == StreamEnd {
+			if event.Data == protocol.StreamEnd {
 				if !finished {
 					yield(Piece{}, s.bad(errNoLast))
 				}
@@ -165,7 +163,7 @@
 
 // piece checks that the event is the stream's next one.
 func (s *Stream) piece(event sse.Event) (Piece, bool, error) {
-	var chunk CompletionChunk
+	var chunk protocol.CompletionChunk
 	if err := json.Unmarshal([]byte(event.Data), &chunk); err != nil {
 		return Piece{}, false, err
 	}
@@ -187,119 +185,27 @@
 	return p, choice.FinishReason != nil, nil
 }
 
-// EngineState is an engine's full load report.
-type EngineState struct {
-	Instance string   `json:"instance"`
-	Running  int      `json:"running"`
-	Waiting  int      `json:"waiting"`
-	Slots    int      `json:"slots"`
-	Leaving  bool     `json:"leaving"`
-	Models   []Loaded `json:"models,omitempty"`
-	Role     string   `json:"role,omitempty"`
-	// Fence is the highest that the engine has accepted.
-	Fence uint64 `json:"fence"`
-	// MemoryBytes and UsedBytes are what models share.
-	MemoryBytes int64 `json:"memory_bytes,omitempty"`
-	UsedBytes   int64 `json:"used_bytes,omitempty"`
-}
-
-// Loaded is one model that an engine holds.
-type Loaded struct {
-	Model    string   `json:"model"`
-	Version  string   `json:"version"`
-	Adapters []string `json:"adapters,omitempty"`
-	// Ready is false while the weights are still coming.
-	Ready bool `json:"ready"`
-}
-
-// Load returns the part of the report that all backend servers give.
-func (s EngineState) Load() Load {
-	return Load{Instance: s.Instance, Running: s.Running, Waiting: s.Waiting, Slots: s.Slots, Leaving: s.Leaving}
-}
-
 const stateLimit = 64 << 10
 
 // State asks a backend server for its load report.
-func (c *Client) State(ctx context.Context, call Call) (EngineState, error) {
-	return get[EngineState](ctx, c, call.Server, PathLoad, stateLimit)
-}
-
-// CacheEvent says that an engine has stored a prompt's prefix, or dropped it.
-type CacheEvent struct {
-	// Sequence grows by one from event to event of one instance.
-	Sequence uint64 `json:"seq"`
-	// Stored is false where the prefix was dropped.
-	Stored bool `json:"stored"`
-	// Prefix names the prefix, as PrefixOf does.
-	Prefix uint64 `json:"prefix,string"`
-}
-
-// CacheEvents answers what happened after a sequence number. Events may be
-// late, and some may be missing.
-type CacheEvents struct {
-	Events []CacheEvent `json:"events"`
-	// Next is the sequence number to ask after next.
-	Next uint64 `json:"next"`
-}
-
-// Check bounds the events.
-func (e CacheEvents) Check() error {
-	if len(e.Events) > maxCacheEvents {
-		return fmt.Errorf("backend: %d cache events, at most %d are allowed", len(e.Events), maxCacheEvents)
-	}
-	return nil
-}
-
-const maxCacheEvents = 4096
-
-// PrefixOf names the prefix of a prompt: the XXH64 of the model, a zero byte,
-// the adapter, a zero byte, and the prompt's first line with its line end. A
-// prompt without a line end has none, and 0 is returned.
-func PrefixOf(model, adapter, prompt string) uint64 {
-	end := strings.IndexByte(prompt, '\n')
-	if end < 0 {
-		return 0
-	}
-	return xxhash.Sum64String(model + "\x00" + adapter + "\x00" + prompt[:end+1])
+func (c *Client) State(ctx context.Context, call Call) (protocol.EngineState, error) {
+	return get[protocol.EngineState](ctx, c, call.Server, protocol.PathLoad, stateLimit)
 }
 
 // Cache asks an engine for its cache events after a sequence number.
-func (c *Client) Cache(ctx context.Context, server netip.AddrPort, after uint64) (CacheEvents, error) {
-	return get[CacheEvents](ctx, c, server, PathCacheEvents+"?after="+strconv.FormatUint(after, 10), stateLimit)
-}
-
-// Action is what an order asks an engine to do.
-type Action string
-
-// Actions of orders.
-const (
-	ActionLoad   Action = "load"
-	ActionUnload Action = "unload"
-	ActionRole   Action = "role"
-)
-
-// Order is a fenced order to an engine.
-type Order struct {
-	// Fence must be higher than the engine's highest.
-	Fence uint64 `json:"fence"`
-	// Owner is the node that orders.
-	Owner    string   `json:"owner"`
-	Action   Action   `json:"action"`
-	Model    string   `json:"model,omitempty"`
-	Version  string   `json:"version,omitempty"`
-	Adapters []string `json:"adapters,omitempty"`
-	Role     string   `json:"role,omitempty"`
+func (c *Client) Cache(ctx context.Context, server netip.AddrPort, after uint64) (protocol.CacheEvents, error) {
+	return get[protocol.CacheEvents](ctx, c, server, protocol.PathCacheEvents+"?after="+strconv.FormatUint(after, 10), stateLimit)
 }
 
 // Order sends one order, once.
-func (c *Client) Order(ctx context.Context, call Call, order Order) (EngineState, error) {
-	response, err := c.post(ctx, call, PathOrders, order)
+func (c *Client) Order(ctx context.Context, call Call, order protocol.Order) (protocol.EngineState, error) {
+	response, err := c.post(ctx, call, protocol.PathOrders, order)
 	if err != nil {
-		return EngineState{}, err
+		return protocol.EngineState{}, err
 	}
 	defer drain(response.Body)
 	if response.StatusCode != http.StatusOK {
-		return EngineState{}, refusal(response)
+		return protocol.EngineState{}, refusal(response)
 	}
-	return wire.ReadLoose[EngineState](response.Body, stateLimit)
+	return wire.ReadLoose[protocol.EngineState](response.Body, stateLimit)
 }
--- a/internal/backend/guard_test.go
+++ b/internal/backend/guard_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/wingvale/wingvale/internal/backend"
 	"github.com/wingvale/wingvale/internal/memnet"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/request"
 	"github.com/wingvale/wingvale/verdict"
 )
@@ -49,14 +50,14 @@
 
 func answer(conn net.Conn, r *http.Request, header, body string) {
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s",
-		backend.HeaderRequest, r.Header.Get(backend.HeaderRequest),
-		backend.HeaderStage, r.Header.Get(backend.HeaderStage),
-		backend.HeaderAttempt, r.Header.Get(backend.HeaderAttempt), header, len(body), body)
+		protocol.HeaderRequest, r.Header.Get(protocol.HeaderRequest),
+		protocol.HeaderStage, r.Header.Get(protocol.HeaderStage),
+		protocol.HeaderAttempt, r.Header.Get(protocol.HeaderAttempt), header, len(body), body)
 }
 
 func result(r *http.Request) string {
 	return fmt.Sprintf(`{"request":%q,"stage":%q,"attempt":%s,"result":{}}`,
-		r.Header.Get(backend.HeaderRequest), r.Header.Get(backend.HeaderStage), r.Header.Get(backend.HeaderAttempt))
+		r.Header.Get(protocol.HeaderRequest), r.Header.Get(protocol.HeaderStage), r.Header.Get(protocol.HeaderAttempt))
 }
 
 // serve answers the first request of each connection well, and lets bad handle
@@ -118,30 +119,30 @@
 		{"cuts the body short", nil, func(c net.Conn, r *http.Request) {
 			text := result(r)
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: a\r\n%s: 2\r\nContent-Length: %d\r\n\r\n%s",
-				backend.HeaderRequest, r.Header.Get(backend.HeaderRequest), backend.HeaderStage, backend.HeaderAttempt, len(text)+1, text[:len(text)-1])
+				protocol.HeaderRequest, r.Header.Get(protocol.HeaderRequest), protocol.HeaderStage, protocol.HeaderAttempt, len(text)+1, text[:len(text)-1])
 		}, verdict.Unknown, 2},
 		{"answers for another request", nil, func(c net.Conn, r *http.Request) {
-			r.Header.Set(backend.HeaderRequest, other)
+			r.Header.Set(protocol.HeaderRequest, other)
 			answer(c, r, "", result(r))
 		}, verdict.Unknown, 2},
 		{"refuses for another request", nil, func(c net.Conn, _ *http.Request) {
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 No\r\n%s: %s\r\n%s: true\r\nContent-Length: 0\r\n\r\n", backend.HeaderRequest, other, backend.HeaderNotStarted)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 No\r\n%s: %s\r\n%s: true\r\nContent-Length: 0\r\n\r\n", protocol.HeaderRequest, other, protocol.HeaderNotStarted)
 		}, verdict.Unknown, 2},
 		{"answers a result for another request", nil, func(c net.Conn, r *http.Request) {
-			text := strings.Replace(result(r), r.Header.Get(backend.HeaderRequest), other, 1)
+			text := strings.Replace(result(r), r.Header.Get(protocol.HeaderRequest), other, 1)
 			answer(c, r, "", text)
 		}, verdict.Unknown, 2},
 		{"fails and says not started", nil, func(c net.Conn, r *http.Request) {
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 No\r\n%s: %s\r\n%s: a\r\n%s: 2\r\n%s: true\r\nContent-Length: 0\r\n\r\n",
-				backend.HeaderRequest, r.Header.Get(backend.HeaderRequest), backend.HeaderStage, backend.HeaderAttempt, backend.HeaderNotStarted)
+				protocol.HeaderRequest, r.Header.Get(protocol.HeaderRequest), protocol.HeaderStage, protocol.HeaderAttempt, protocol.HeaderNotStarted)
 		}, verdict.NotRun, 2},
 		{"fails and says nothing", nil, func(c net.Conn, r *http.Request) {
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 No\r\n%s: %s\r\n%s: a\r\n%s: 2\r\nContent-Length: 0\r\n\r\n",
-				backend.HeaderRequest, r.Header.Get(backend.HeaderRequest), backend.HeaderStage, backend.HeaderAttempt)
+				protocol.HeaderRequest, r.Header.Get(protocol.HeaderRequest), protocol.HeaderStage, protocol.HeaderAttempt)
 		}, verdict.Unknown, 2},
 		{"redirects", nil, func(c net.Conn, r *http.Request) {
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 307 Go\r\nLocation: /elsewhere\r\n%s: %s\r\n%s: a\r\n%s: 2\r\nContent-Length: 0\r\n\r\n",
-				backend.HeaderRequest, r.Header.Get(backend.HeaderRequest), backend.HeaderStage, backend.HeaderAttempt)
+				protocol.HeaderRequest, r.Header.Get(protocol.HeaderRequest), protocol.HeaderStage, protocol.HeaderAttempt)
 		}, verdict.Unknown, 2},
 		{"answers twice", nil, func(c net.Conn, r *http.Request) {
 			_, _ = io.Copy(io.Discard, r.Body)
@@ -162,11 +163,11 @@
 				call := backend.Call{Server: server, Request: id, Stage: "a", Attempt: 1}
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 				defer cancel()
-				_, _, err = client.Stage(ctx, call, backend.StageCall{Input: "x"})
+				_, _, err = client.Stage(ctx, call, protocol.StageCall{Input: "x"})
 				assert.NilError(t, err)
 				synctest.Wait()
 				call.Attempt = 2
-				_, _, err = client.Stage(ctx, call, backend.StageCall{Input: "x"})
+				_, _, err = client.Stage(ctx, call, protocol.StageCall{Input: "x"})
 				assert.Equal(t, verdict.Of(err), c.want, "got %v", err)
 				synctest.Wait()
 				assert.Equal(t, h.count(), c.arrivals)
@@ -181,7 +182,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		client := backend.New(memnet.New(nil).Dialer(caller))
 		call := backend.Call{Server: server, Request: request.Issue(request.Key{1}, server, 1, 1, 0), Stage: "a", Attempt: 1}
-		_, _, err := client.Stage(t.Context(), call, backend.StageCall{})
+		_, _, err := client.Stage(t.Context(), call, protocol.StageCall{})
 		assert.Equal(t, verdict.Of(err), verdict.NotRun)
 	})
 }
--- a/internal/campaign/check.go
+++ b/internal/campaign/check.go
@@ -12,8 +12,8 @@
 	"strings"
 	"time"
 
-	"github.com/wingvale/wingvale/internal/backend"
 	"github.com/wingvale/wingvale/internal/harness"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/internal/standin"
 	"github.com/wingvale/wingvale/verdict"
 )
@@ -140,7 +140,7 @@
 	last := 0
 	for _, o := range s.Engine.Orders() {
 		version, err := strconv.Atoi(strings.TrimPrefix(o.Version, "v"))
-		if err != nil || o.Action != backend.ActionLoad {
+		if err != nil || o.Action != protocol.ActionLoad {
 			continue
 		}
 		if version < last {
@@ -148,7 +148,7 @@
 		}
 		last = version
 	}
-	want := backend.Loaded{Model: "colour-guide", Version: fmt.Sprintf("v%d", r.version), Ready: true}
+	want := protocol.Loaded{Model: "colour-guide", Version: fmt.Sprintf("v%d", r.version), Ready: true}
 	for _, l := range s.Engine.State().Models {
 		if l.Model == want.Model && l.Version == want.Version && l.Ready {
 			return
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -8,8 +8,8 @@
 	"net/netip"
 	"time"
 
-	"github.com/wingvale/wingvale/internal/backend"
 	"github.com/wingvale/wingvale/internal/limit"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/internal/queue"
 	"github.com/wingvale/wingvale/verdict"
 )
@@ -94,7 +94,7 @@
 	Expected time.Duration
 	Low      time.Duration
 	// Load is what the server reported with it.
-	Load  backend.Load
+	Load  protocol.Load
 	Known bool
 	// Refused says that the server was full and did not start the call.
 	Refused bool
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -14,9 +14,9 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 
-	"github.com/wingvale/wingvale/internal/backend"
 	"github.com/wingvale/wingvale/internal/choose"
 	"github.com/wingvale/wingvale/internal/limit"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/internal/queue"
 )
 
@@ -151,7 +151,7 @@
 }
 
 // Observe takes in a load report that did not come with an answer.
-func (p *Pool) Observe(address netip.AddrPort, load backend.Load, models map[string]bool) {
+func (p *Pool) Observe(address netip.AddrPort, load protocol.Load, models map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.servers[address]
@@ -184,7 +184,7 @@
 	}
 }
 
-func (p *Pool) report(s *server, now time.Time, load backend.Load) {
+func (p *Pool) report(s *server, now time.Time, load protocol.Load) {
 	if load.Slots > 0 && load.Slots != s.slots {
 		s.limit.Resize(load.Slots, p.sharers)
 	}
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -12,9 +12,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/wingvale/wingvale/internal/backend"
 	"github.com/wingvale/wingvale/internal/dispatch"
 	"github.com/wingvale/wingvale/internal/limit"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/verdict"
 )
 
@@ -125,7 +125,7 @@
 func TestALeavingServerGetsNoGrant(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPool(2, 4)
-		p.Observe(addresses[0], backend.Load{Instance: "x", Slots: 4, Leaving: true}, nil)
+		p.Observe(addresses[0], protocol.Load{Instance: "x", Slots: 4, Leaving: true}, nil)
 		for range 20 {
 			g, err := p.Acquire(t.Context(), task(time.Hour))
 			assert.NilError(t, err)
--- a/internal/harness/latency_test.go
+++ b/internal/harness/latency_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/wingvale/wingvale/internal/backend"
 	"github.com/wingvale/wingvale/internal/harness"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/internal/sites"
 	"github.com/wingvale/wingvale/internal/standin"
 	"github.com/wingvale/wingvale/request"
@@ -88,14 +89,14 @@
 	for _, stage := range []string{"encode", "retrieve", "rerank"} {
 		pool := map[string]string{"encode": "encoders", "retrieve": "retrievers", "rerank": "rerankers"}[stage]
 		call := backend.Call{Server: s.Servers(pool)[0].Address, Request: id, Stage: stage, Attempt: 1}
-		result, _, err := c.Stage(ctx, call, backend.StageCall{Input: input, Previous: previous})
+		result, _, err := c.Stage(ctx, call, protocol.StageCall{Input: input, Previous: previous})
 		if err != nil {
 			return err
 		}
 		previous = result
 	}
 	call := backend.Call{Server: s.Servers("language-models")[0].Address, Request: id, Stage: "generate", Attempt: 1}
-	stream, _, err := c.Complete(ctx, call, backend.Completion{Model: "colour-guide", Prompt: string(previous) + "\nQuestion: " + input})
+	stream, _, err := c.Complete(ctx, call, protocol.Completion{Model: "colour-guide", Prompt: string(previous) + "\nQuestion: " + input})
 	if err != nil {
 		return err
 	}
--- a/internal/harness/server.go
+++ b/internal/harness/server.go
@@ -9,7 +9,7 @@
 	"net/netip"
 	"strconv"
 
-	"github.com/wingvale/wingvale/internal/backend"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/internal/published"
 	"github.com/wingvale/wingvale/internal/sites"
 	"github.com/wingvale/wingvale/internal/standin"
@@ -110,7 +110,7 @@
 	}
 	values, _ := s.options.Site.Values()
 	for key := range values {
-		var m backend.Loaded
+		var m protocol.Loaded
 		var v struct {
 			Version  string   `json:"version"`
 			Adapters []string `json:"adapters"`
@@ -118,7 +118,7 @@
 			Name     string   `json:"name"`
 		}
 		if json.Unmarshal([]byte(values[key]), &v) == nil && v.Bytes > 0 {
-			m = backend.Loaded{Model: v.Name, Version: v.Version, Adapters: v.Adapters, Ready: true}
+			m = protocol.Loaded{Model: v.Name, Version: v.Version, Adapters: v.Adapters, Ready: true}
 			e.Models = append(e.Models, m)
 		}
 	}
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -14,6 +14,7 @@
 
 	"github.com/wingvale/wingvale/internal/backend"
 	"github.com/wingvale/wingvale/internal/dispatch"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/internal/queue"
 	"github.com/wingvale/wingvale/internal/table"
 	"github.com/wingvale/wingvale/pipeline"
@@ -268,7 +269,7 @@
 func (n *Node) callStage(ctx context.Context, j *job, s *step, call backend.Call, last bool) (json.RawMessage, backend.Report, error) {
 	tryCtx, cancel := context.WithTimeout(ctx, patience(j, s))
 	defer cancel()
-	body := backend.StageCall{Workspace: j.workspace.Name, Input: j.spec.Input, Previous: j.previous, Unrepeatable: j.unrepeatable}
+	body := protocol.StageCall{Workspace: j.workspace.Name, Input: j.spec.Input, Previous: j.previous, Unrepeatable: j.unrepeatable}
 	result, report, err := n.backends.Stage(tryCtx, call, body)
 	if err == nil && last && !n.chunk(j, string(result)) {
 		return nil, report, errAnswerTooLarge()
--- a/internal/node/generate.go
+++ b/internal/node/generate.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/wingvale/wingvale/internal/backend"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/request"
 	"github.com/wingvale/wingvale/verdict"
 )
@@ -41,7 +42,7 @@
 // that an engine that holds it is preferred.
 func (j *job) prefix(s *step) uint64 {
 	head, _, _ := strings.Cut(s.Prompt, "{")
-	return backend.PrefixOf(s.Model, s.Adapter, head)
+	return protocol.PrefixOf(s.Model, s.Adapter, head)
 }
 
 // generate runs an engine stage. If it is the last one, its text goes to the
@@ -104,7 +105,7 @@
 		j.run.Restart()
 		j.digest = request.NewDigest()
 	}
-	body := backend.Completion{
+	body := protocol.Completion{
 		Model:     s.Model,
 		Adapter:   s.Adapter,
 		Prompt:    j.prompt(s),
@@ -160,7 +161,7 @@
 		if last && !n.chunk(j, piece.Text) {
 			return errAnswerTooLarge()
 		}
-		if !last && text.Len()+len(piece.Text) > backend.MaxResultBytes {
+		if !last && text.Len()+len(piece.Text) > protocol.MaxResultBytes {
 			return errAnswerTooLarge()
 		}
 		if !last {
--- a/internal/node/placer.go
+++ b/internal/node/placer.go
@@ -15,6 +15,7 @@
 	"github.com/wingvale/wingvale/internal/fleet"
 	"github.com/wingvale/wingvale/internal/owner"
 	"github.com/wingvale/wingvale/internal/place"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/internal/published"
 	"github.com/wingvale/wingvale/pipeline"
 	"github.com/wingvale/wingvale/verdict"
@@ -121,7 +122,7 @@
 	if !ok || !n.ready.ok() || time.Since(begin) > pausedAfter {
 		return
 	}
-	order := backend.Order{
+	order := protocol.Order{
 		Fence:    fence,
 		Owner:    n.settings.Caller.String(),
 		Action:   step.Action,
--- a/internal/node/pools.go
+++ b/internal/node/pools.go
@@ -17,6 +17,7 @@
 	"github.com/wingvale/wingvale/internal/dispatch"
 	"github.com/wingvale/wingvale/internal/fleet"
 	"github.com/wingvale/wingvale/internal/owner"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/internal/published"
 )
 
@@ -52,7 +53,7 @@
 }
 
 type engineState struct {
-	backend.EngineState
+	protocol.EngineState
 	// asked is when the server was last asked, at when it answered.
 	asked time.Time
 	at    time.Time
@@ -330,7 +331,7 @@
 }
 
 // observeEngine takes in a server's full report.
-func (p *pools) observeEngine(h published.Host, state backend.EngineState) {
+func (p *pools) observeEngine(h published.Host, state protocol.EngineState) {
 	p.mu.Lock()
 	before := p.states[h.Address].Instance
 	now := time.Now()
@@ -343,7 +344,7 @@
 	p.observe(h, state.Load(), modelsOf(h, state))
 }
 
-func modelsOf(h published.Host, state backend.EngineState) map[string]bool {
+func modelsOf(h published.Host, state protocol.EngineState) map[string]bool {
 	if h.Role != published.RoleEngine {
 		return nil
 	}
@@ -357,7 +358,7 @@
 }
 
 // observe takes in what a server said of itself.
-func (p *pools) observe(h published.Host, load backend.Load, models map[string]bool) {
+func (p *pools) observe(h published.Host, load protocol.Load, models map[string]bool) {
 	if load.Leaving {
 		p.node.NoteLeaving(h.Address, load.Instance)
 	}
@@ -367,7 +368,7 @@
 }
 
 // state returns what an engine last said of itself.
-func (p *pools) state(address netip.AddrPort) (backend.EngineState, time.Time, bool) {
+func (p *pools) state(address netip.AddrPort) (protocol.EngineState, time.Time, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, ok := p.states[address]
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -12,8 +12,8 @@
 	"net/netip"
 	"slices"
 
-	"github.com/wingvale/wingvale/internal/backend"
 	"github.com/wingvale/wingvale/internal/owner"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/pipeline"
 )
 
@@ -23,7 +23,7 @@
 	Pool    string
 	// Leaving engines get no order.
 	Leaving bool
-	backend.EngineState
+	protocol.EngineState
 }
 
 const (
@@ -39,7 +39,7 @@
 // Step is the next order for one engine.
 type Step struct {
 	Engine  netip.AddrPort
-	Action  backend.Action
+	Action  protocol.Action
 	Model   string
 	Version string
 	Bytes   int64
@@ -91,7 +91,7 @@
 	return l != nil && l.Ready
 }
 
-func loaded(e Engine, model string) *backend.Loaded {
+func loaded(e Engine, model string) *protocol.Loaded {
 	for i := range e.Models {
 		if e.Models[i].Model == model {
 			return &e.Models[i]
@@ -125,10 +125,10 @@
 				continue
 			}
 			s, ok := loadStep(e, m, models, targets)
-			if !ok || s.Action == backend.ActionLoad && loading >= atOnce {
+			if !ok || s.Action == protocol.ActionLoad && loading >= atOnce {
 				continue
 			}
-			if s.Action == backend.ActionLoad {
+			if s.Action == protocol.ActionLoad {
 				loading++
 			}
 			ordered[address] = true
@@ -139,7 +139,7 @@
 }
 
 func isLoading(e Engine) bool {
-	return slices.ContainsFunc(e.Models, func(l backend.Loaded) bool { return !l.Ready })
+	return slices.ContainsFunc(e.Models, func(l protocol.Loaded) bool { return !l.Ready })
 }
 
 // wants reports whether the engine lacks the model or an adapter of it, or has
@@ -160,7 +160,7 @@
 // loadStep loads the model where there is memory, and else unloads one that
 // the engine need not hold.
 func loadStep(e Engine, m pipeline.Model, models []pipeline.Model, targets map[string][]netip.AddrPort) (Step, bool) {
-	load := Step{Engine: e.Address, Action: backend.ActionLoad, Model: m.Name, Version: m.Version, Bytes: m.Bytes, Adapters: m.Adapters}
+	load := Step{Engine: e.Address, Action: protocol.ActionLoad, Model: m.Name, Version: m.Version, Bytes: m.Bytes, Adapters: m.Adapters}
 	need := m.Bytes
 	if loaded(e, m.Name) != nil {
 		need = 0
@@ -170,7 +170,7 @@
 	}
 	for _, l := range e.Models {
 		if l.Model != m.Name && !slices.Contains(targets[l.Model], e.Address) && enough(l.Model, models, targets) {
-			return Step{Engine: e.Address, Action: backend.ActionUnload, Model: l.Model, Version: l.Version}, true
+			return Step{Engine: e.Address, Action: protocol.ActionUnload, Model: l.Model, Version: l.Version}, true
 		}
 	}
 	return Step{}, false
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -10,8 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/wingvale/wingvale/internal/backend"
 	"github.com/wingvale/wingvale/internal/place"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/pipeline"
 )
 
@@ -36,7 +36,7 @@
 	assert.Equal(t, len(steps), 2, "got %v", steps)
 	loading := engines(10, func(i int, e *place.Engine) {
 		if i < 2 {
-			e.Models = []backend.Loaded{{Model: "m", Version: "v1"}}
+			e.Models = []protocol.Loaded{{Model: "m", Version: "v1"}}
 		}
 	})
 	assert.Equal(t, len(place.Steps([]pipeline.Model{model("m", 50, 8)}, loading)), 0, "two loads are under way")
@@ -57,7 +57,7 @@
 	holders := func(load int) []place.Engine {
 		return engines(10, func(i int, e *place.Engine) {
 			if i < 4 {
-				e.Models = []backend.Loaded{{Model: "m", Version: "v1", Ready: true}}
+				e.Models = []protocol.Loaded{{Model: "m", Version: "v1", Ready: true}}
 				e.Running = load
 			}
 		})
@@ -70,12 +70,12 @@
 
 func TestMakesRoomByWhatIsNotWanted(t *testing.T) {
 	list := engines(1, func(_ int, e *place.Engine) {
-		e.Models = []backend.Loaded{{Model: "old", Version: "v1", Ready: true}}
+		e.Models = []protocol.Loaded{{Model: "old", Version: "v1", Ready: true}}
 		e.UsedBytes = 80
 	})
 	steps := place.Steps([]pipeline.Model{model("new", 50, 1)}, list)
 	assert.Equal(t, len(steps), 1)
-	assert.Equal(t, steps[0].Action, backend.ActionUnload)
+	assert.Equal(t, steps[0].Action, protocol.ActionUnload)
 	assert.Equal(t, steps[0].Model, "old")
 }
 
--- a/internal/backend/protocol.go
+++ b/internal/protocol/protocol.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The Wingvale Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package backend
+package protocol
 
 import (
 	"encoding/json"
@@ -142,7 +142,7 @@
 // Check reports what is missing of a.
 func (a StageAnswer) Check() error {
 	if len(a.Result) == 0 {
-		return fmt.Errorf("backend: an answer without a result")
+		return fmt.Errorf("protocol: an answer without a result")
 	}
 	return nil
 }
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/wingvale/wingvale/internal/backend"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/internal/wire"
 )
 
@@ -30,7 +30,7 @@
 }
 
 type cacheEvent struct {
-	backend.CacheEvent
+	protocol.CacheEvent
 	at   time.Time
 	lost bool
 }
@@ -59,7 +59,7 @@
 func (c *cache) note(prefix uint64, stored, lost bool) {
 	c.next++
 	c.events = append(c.events, cacheEvent{
-		CacheEvent: backend.CacheEvent{Sequence: c.next, Stored: stored, Prefix: prefix},
+		CacheEvent: protocol.CacheEvent{Sequence: c.next, Stored: stored, Prefix: prefix},
 		at:         time.Now(),
 		lost:       lost,
 	})
@@ -67,10 +67,10 @@
 }
 
 // after returns the events that a reader sees.
-func (c *cache) after(sequence uint64, lag time.Duration) backend.CacheEvents {
+func (c *cache) after(sequence uint64, lag time.Duration) protocol.CacheEvents {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	seen := backend.CacheEvents{Events: []backend.CacheEvent{}, Next: sequence}
+	seen := protocol.CacheEvents{Events: []protocol.CacheEvent{}, Next: sequence}
 	for _, e := range c.events {
 		if e.Sequence <= sequence || time.Since(e.at) < lag {
 			continue
--- a/internal/standin/data.go
+++ b/internal/standin/data.go
@@ -14,7 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/wingvale/wingvale/internal/backend"
+	"github.com/wingvale/wingvale/internal/protocol"
 )
 
 // Document is one line of the small data set.
@@ -94,14 +94,14 @@
 }
 
 // Encode is the job of an encoder.
-func Encode(call backend.StageCall) (json.RawMessage, error) {
+func Encode(call protocol.StageCall) (json.RawMessage, error) {
 	return json.Marshal(Vector{Vector: Embed(call.Input)})
 }
 
 // Retrieve returns the job of a retriever over documents. With no vector from a
 // stage before it makes its own.
 func Retrieve(documents []Document) Job {
-	return func(call backend.StageCall) (json.RawMessage, error) {
+	return func(call protocol.StageCall) (json.RawMessage, error) {
 		in := Vector{Vector: Embed(call.Input)}
 		if len(call.Previous) > 0 {
 			if err := json.Unmarshal(call.Previous, &in); err != nil {
@@ -118,7 +118,7 @@
 
 // Rerank is the job of a reranker: documents that share more words with the
 // question come first.
-func Rerank(call backend.StageCall) (json.RawMessage, error) {
+func Rerank(call protocol.StageCall) (json.RawMessage, error) {
 	var in Found
 	if len(call.Previous) > 0 {
 		if err := json.Unmarshal(call.Previous, &in); err != nil {
@@ -190,15 +190,15 @@
 
 // Expected returns what the four stages must answer to input, word for word.
 func Expected(documents []Document, input string) (string, error) {
-	encoded, err := Encode(backend.StageCall{Input: input})
+	encoded, err := Encode(protocol.StageCall{Input: input})
 	if err != nil {
 		return "", err
 	}
-	retrieved, err := Retrieve(documents)(backend.StageCall{Input: input, Previous: encoded})
+	retrieved, err := Retrieve(documents)(protocol.StageCall{Input: input, Previous: encoded})
 	if err != nil {
 		return "", err
 	}
-	reranked, err := Rerank(backend.StageCall{Input: input, Previous: retrieved})
+	reranked, err := Rerank(protocol.StageCall{Input: input, Previous: retrieved})
 	if err != nil {
 		return "", err
 	}
@@ -214,7 +214,7 @@
 
 // Serve returns the job of a plain service: a receipt for what was asked.
 func Serve(name string) Job {
-	return func(call backend.StageCall) (json.RawMessage, error) {
+	return func(call protocol.StageCall) (json.RawMessage, error) {
 		return json.Marshal(Receipt{Service: name, Request: call.Request.String(), Input: call.Input})
 	}
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -15,6 +15,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/wingvale/wingvale/internal/backend"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/internal/wire"
 )
 
@@ -24,7 +25,7 @@
 	// Token is the time between two tokens of one stream.
 	Token time.Duration
 	// Models are loaded at the start.
-	Models []backend.Loaded
+	Models []protocol.Loaded
 	// MemoryBytes is what models share.
 	MemoryBytes int64
 	// Unchecked engines take any order, whatever its fence.
@@ -47,11 +48,11 @@
 
 	mu      sync.Mutex
 	streams map[string]*stream
-	models  []backend.Loaded
+	models  []protocol.Loaded
 	sizes   map[string]int64
 	role    string
 	fence   uint64
-	orders  []backend.Order
+	orders  []protocol.Order
 	count   int
 }
 
@@ -81,23 +82,23 @@
 // Handler serves the engine's protocol.
 func (e *Engine) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Post(backend.PathCompletions, e.complete)
-	r.Get(backend.PathStreams+"{id}", e.resume)
-	r.Delete(backend.PathStreams+"{id}", e.drop)
-	r.Post(backend.PathOrders, e.order)
-	r.Get(backend.PathCacheEvents, e.cacheEvents)
-	r.Get(backend.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
+	r.Post(protocol.PathCompletions, e.complete)
+	r.Get(protocol.PathStreams+"{id}", e.resume)
+	r.Delete(protocol.PathStreams+"{id}", e.drop)
+	r.Post(protocol.PathOrders, e.order)
+	r.Get(protocol.PathCacheEvents, e.cacheEvents)
+	r.Get(protocol.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
 		_ = wire.Write(w, http.StatusOK, e.State())
 	})
 	return r
 }
 
 // State returns the engine's full report.
-func (e *Engine) State() backend.EngineState {
+func (e *Engine) State() protocol.EngineState {
 	l := e.load()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s := backend.EngineState{
+	s := protocol.EngineState{
 		Instance: l.Instance, Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Leaving: l.Leaving,
 		Models: slices.Clone(e.models), Role: e.role, Fence: e.fence, MemoryBytes: e.options.MemoryBytes,
 	}
@@ -110,11 +111,11 @@
 func (e *Engine) holds(model string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return slices.ContainsFunc(e.models, func(l backend.Loaded) bool { return l.Model == model && l.Ready })
+	return slices.ContainsFunc(e.models, func(l protocol.Loaded) bool { return l.Model == model && l.Ready })
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
-	named, body, ok := accept[backend.Completion](e.server, w, r, e.options.MaxWaiting)
+	named, body, ok := accept[protocol.Completion](e.server, w, r, e.options.MaxWaiting)
 	if !ok {
 		return
 	}
@@ -127,13 +128,13 @@
 	}
 	s := e.begin(named, body)
 	e.echo(w, r)
-	w.Header().Set(backend.HeaderStream, s.id)
+	w.Header().Set(protocol.HeaderStream, s.id)
 	e.send(w, r, s, 0)
 }
 
 // begin starts to generate, whether or not anybody goes on reading. The slot
 // is already taken.
-func (e *Engine) begin(named backend.Call, body backend.Completion) *stream {
+func (e *Engine) begin(named backend.Call, body protocol.Completion) *stream {
 	arrival := e.arrived(named, question(body.Prompt))
 	ctx, cancel := context.WithCancel(e.ctx)
 	e.mu.Lock()
@@ -147,7 +148,7 @@
 	}
 	e.streams[s.id] = s
 	e.mu.Unlock()
-	cached := e.cache.use(backend.PrefixOf(body.Model, body.Adapter, body.Prompt), e.chance(e.get().EventGap))
+	cached := e.cache.use(protocol.PrefixOf(body.Model, body.Adapter, body.Prompt), e.chance(e.get().EventGap))
 	e.loads.Go(func() {
 		defer e.slots.leave()
 		e.generate(ctx, s, body, cached)
@@ -177,9 +178,9 @@
 	})
 }
 
-func (e *Engine) generate(ctx context.Context, s *stream, body backend.Completion, cached bool) {
+func (e *Engine) generate(ctx context.Context, s *stream, body protocol.Completion, cached bool) {
 	prefill := e.work()
-	usage := backend.CompletionUsage{PromptTokens: len(strings.Fields(body.Prompt))}
+	usage := protocol.CompletionUsage{PromptTokens: len(strings.Fields(body.Prompt))}
 	if cached {
 		prefill /= 2
 		usage.CachedTokens = usage.PromptTokens / 2
--- a/internal/standin/order.go
+++ b/internal/standin/order.go
@@ -7,20 +7,20 @@
 	"net/http"
 	"slices"
 
-	"github.com/wingvale/wingvale/internal/backend"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/internal/wire"
 	"github.com/wingvale/wingvale/request"
 )
 
 // Orders returns the orders that were taken.
-func (e *Engine) Orders() []backend.Order {
+func (e *Engine) Orders() []protocol.Order {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return slices.Clone(e.orders)
 }
 
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	o, err := wire.ReadLoose[backend.Order](r.Body, request.MaxBodyBytes)
+	o, err := wire.ReadLoose[protocol.Order](r.Body, request.MaxBodyBytes)
 	if err != nil {
 		e.refuse(w, r, http.StatusBadRequest, err.Error())
 		return
@@ -40,20 +40,20 @@
 }
 
 // take carries an order out.
-func (e *Engine) take(o backend.Order) {
+func (e *Engine) take(o protocol.Order) {
 	switch o.Action {
-	case backend.ActionRole:
+	case protocol.ActionRole:
 		e.role = o.Role
-	case backend.ActionUnload:
-		e.models = slices.DeleteFunc(e.models, func(l backend.Loaded) bool { return l.Model == o.Model })
-	case backend.ActionLoad:
-		e.models = slices.DeleteFunc(e.models, func(l backend.Loaded) bool { return l.Model == o.Model })
-		e.models = append(e.models, backend.Loaded{Model: o.Model, Version: o.Version, Adapters: o.Adapters})
+	case protocol.ActionUnload:
+		e.models = slices.DeleteFunc(e.models, func(l protocol.Loaded) bool { return l.Model == o.Model })
+	case protocol.ActionLoad:
+		e.models = slices.DeleteFunc(e.models, func(l protocol.Loaded) bool { return l.Model == o.Model })
+		e.models = append(e.models, protocol.Loaded{Model: o.Model, Version: o.Version, Adapters: o.Adapters})
 		e.loads.Go(func() { e.fetch(o) })
 	}
 }
 
-func (e *Engine) fetch(o backend.Order) {
+func (e *Engine) fetch(o protocol.Order) {
 	size := int64(0)
 	if e.options.Weights != nil {
 		var err error
--- a/internal/standin/pool.go
+++ b/internal/standin/pool.go
@@ -11,12 +11,12 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/wingvale/wingvale/internal/backend"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/internal/wire"
 )
 
 // Job is the work of a pool or a plain service: a result from the call.
-type Job func(call backend.StageCall) (json.RawMessage, error)
+type Job func(call protocol.StageCall) (json.RawMessage, error)
 
 // Pool is one runner of a stage pool or of a plain service.
 type Pool struct {
@@ -30,12 +30,12 @@
 }
 
 type answered struct {
-	body   backend.StageCall
+	body   protocol.StageCall
 	result json.RawMessage
 }
 
 // swap remembers an answer and returns the one before.
-func (p *Pool) swap(body backend.StageCall, result json.RawMessage) *answered {
+func (p *Pool) swap(body protocol.StageCall, result json.RawMessage) *answered {
 	p.lastMu.Lock()
 	defer p.lastMu.Unlock()
 	before := p.last
@@ -51,10 +51,10 @@
 // Handler serves the runner's protocol.
 func (p *Pool) Handler() http.Handler {
 	r := chi.NewRouter()
-	r.Post(backend.PathStages+"{stage}", p.serve)
-	r.Get(backend.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
+	r.Post(protocol.PathStages+"{stage}", p.serve)
+	r.Get(protocol.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
 		l := p.load()
-		_ = wire.Write(w, http.StatusOK, backend.EngineState{
+		_ = wire.Write(w, http.StatusOK, protocol.EngineState{
 			Instance: l.Instance, Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Leaving: l.Leaving,
 		})
 	})
@@ -62,7 +62,7 @@
 }
 
 func (p *Pool) serve(w http.ResponseWriter, r *http.Request) {
-	named, body, ok := accept[backend.StageCall](p.server, w, r, p.maxWaiting)
+	named, body, ok := accept[protocol.StageCall](p.server, w, r, p.maxWaiting)
 	if !ok {
 		return
 	}
@@ -85,13 +85,13 @@
 	p.answer(w, r, body, result)
 }
 
-func (p *Pool) answer(w http.ResponseWriter, r *http.Request, body backend.StageCall, result json.RawMessage) {
+func (p *Pool) answer(w http.ResponseWriter, r *http.Request, body protocol.StageCall, result json.RawMessage) {
 	p.echo(w, r)
 	other := p.swap(body, result)
 	if other != nil && p.chance(p.get().Mislabel) {
 		// The answer of another call, as that one's.
-		w.Header().Set(backend.HeaderRequest, other.body.Request.String())
+		w.Header().Set(protocol.HeaderRequest, other.body.Request.String())
 		body, result = other.body, other.result
 	}
-	_ = wire.Write(w, http.StatusOK, backend.StageAnswer{Request: body.Request, Stage: body.Stage, Attempt: body.Attempt, Result: result})
+	_ = wire.Write(w, http.StatusOK, protocol.StageAnswer{Request: body.Request, Stage: body.Stage, Attempt: body.Attempt, Result: result})
 }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wingvale/wingvale/internal/backend"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/internal/wire"
 	"github.com/wingvale/wingvale/pipeline"
 	"github.com/wingvale/wingvale/request"
@@ -89,20 +90,20 @@
 	a.Finished = true
 }
 
-func (s *server) load() backend.Load {
+func (s *server) load() protocol.Load {
 	k := s.get()
 	running, waiting := s.slots.counts(k.ReportLag)
-	return backend.Load{Instance: s.instance, Running: running, Waiting: waiting, Slots: s.slots.size, Leaving: k.Leaving}
+	return protocol.Load{Instance: s.instance, Running: running, Waiting: waiting, Slots: s.slots.size, Leaving: k.Leaving}
 }
 
 // call reads the call's name from the headers.
 func call(r *http.Request) (backend.Call, error) {
-	id, err := request.ParseID(r.Header.Get(backend.HeaderRequest))
+	id, err := request.ParseID(r.Header.Get(protocol.HeaderRequest))
 	if err != nil {
 		return backend.Call{}, err
 	}
-	attempt, err := strconv.Atoi(r.Header.Get(backend.HeaderAttempt))
-	return backend.Call{Request: id, Stage: r.Header.Get(backend.HeaderStage), Attempt: attempt}, err
+	attempt, err := strconv.Atoi(r.Header.Get(protocol.HeaderAttempt))
+	return backend.Call{Request: id, Stage: r.Header.Get(protocol.HeaderStage), Attempt: attempt}, err
 }
 
 // accept reads a call's name and body, or refuses it and reports false.
@@ -128,19 +129,19 @@
 
 // echo names the call on its answer.
 func (s *server) echo(w http.ResponseWriter, r *http.Request) {
-	for _, name := range []string{backend.HeaderRequest, backend.HeaderStage, backend.HeaderAttempt} {
+	for _, name := range []string{protocol.HeaderRequest, protocol.HeaderStage, protocol.HeaderAttempt} {
 		w.Header().Set(name, r.Header.Get(name))
 	}
 	if !s.get().Silent {
-		w.Header().Set(backend.HeaderLoad, s.load().Marshal())
+		w.Header().Set(protocol.HeaderLoad, s.load().Marshal())
 	}
 }
 
 // refuse answers that the call did not start.
 func (s *server) refuse(w http.ResponseWriter, r *http.Request, status int, why string) {
 	s.echo(w, r)
-	w.Header().Set(backend.HeaderNotStarted, "true")
-	_ = wire.Write(w, status, backend.Refusal{Error: why, RetryAfter: pipeline.Duration(refusalRetry)})
+	w.Header().Set(protocol.HeaderNotStarted, "true")
+	_ = wire.Write(w, status, protocol.Refusal{Error: why, RetryAfter: pipeline.Duration(refusalRetry)})
 }
 
 const refusalRetry = 100 * time.Millisecond
@@ -148,5 +149,5 @@
 // fail answers that the call failed after it had started.
 func (s *server) fail(w http.ResponseWriter, r *http.Request, why string) {
 	s.echo(w, r)
-	_ = wire.Write(w, http.StatusInternalServerError, backend.Refusal{Error: why})
+	_ = wire.Write(w, http.StatusInternalServerError, protocol.Refusal{Error: why})
 }
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -11,7 +11,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/wingvale/wingvale/internal/backend"
+	"github.com/wingvale/wingvale/internal/protocol"
 	"github.com/wingvale/wingvale/internal/wire"
 	"github.com/wingvale/wingvale/request"
 )
@@ -25,7 +25,7 @@
 	pieces  []string
 	ended   bool
 	aborted bool
-	usage   backend.CompletionUsage
+	usage   protocol.CompletionUsage
 	changed chan struct{}
 }
 
@@ -36,7 +36,7 @@
 	s.wake()
 }
 
-func (s *stream) end(usage backend.CompletionUsage, aborted bool) {
+func (s *stream) end(usage protocol.CompletionUsage, aborted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.usage, s.ended, s.aborted = usage, true, aborted
@@ -92,7 +92,7 @@
 			_ = events.Send("", strconv.Itoa(from), s.chunk("", true))
 		}
 		if ended {
-			_ = events.SendText("", "", backend.StreamEnd)
+			_ = events.SendText("", "", protocol.StreamEnd)
 		}
 		if events.Flush() != nil || ended {
 			return
@@ -100,10 +100,10 @@
 	}
 }
 
-func (s *stream) chunk(text string, last bool) backend.CompletionChunk {
-	c := backend.CompletionChunk{
+func (s *stream) chunk(text string, last bool) protocol.CompletionChunk {
+	c := protocol.CompletionChunk{
 		ID: s.id, Object: "text_completion", Model: s.model,
-		Choices: []backend.CompletionChoice{{Text: text}},
+		Choices: []protocol.CompletionChoice{{Text: text}},
 	}
 	if last {
 		stop := "stop"
@@ -117,7 +117,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.streams[chi.URLParam(r, "id")]
-	if s == nil || s.owner.String() != r.Header.Get(backend.HeaderRequest) {
+	if s == nil || s.owner.String() != r.Header.Get(protocol.HeaderRequest) {
 		return nil
 	}
 	return s
@@ -128,11 +128,11 @@
 	from, err := strconv.Atoi(r.URL.Query().Get("from"))
 	if s == nil || err != nil || from < 0 {
 		e.echo(w, r)
-		_ = wire.Write(w, http.StatusNotFound, backend.Refusal{Error: "no such stream"})
+		_ = wire.Write(w, http.StatusNotFound, protocol.Refusal{Error: "no such stream"})
 		return
 	}
 	e.echo(w, r)
-	w.Header().Set(backend.HeaderStream, s.id)
+	w.Header().Set(protocol.HeaderStream, s.id)
 	e.send(w, r, s, from)
 }
 
