internal/node: a node that is not ready says so; the hostile listener reads first

Change: that behaviour reads the request before it answers, and the case closes its network also where it fails; readiness is asked before the configuration.

--- a/internal/backend/guard_test.go
+++ b/internal/backend/guard_test.go
@@ -133,6 +133,8 @@
 			answer(c, r, "", text)
 		}, verdict.Unknown, 2},
 		{"fails and says not started", nil, func(c net.Conn, r *http.Request) {
+			// Unread data would reset the connection, and the answer with it.
+			_, _ = io.Copy(io.Discard, r.Body)
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 No\r\n%s: %s\r\n%s: a\r\n%s: 2\r\n%s: true\r\nContent-Length: 0\r\n\r\n",
 				protocol.HeaderRequest, r.Header.Get(protocol.HeaderRequest), protocol.HeaderStage, protocol.HeaderAttempt, protocol.HeaderNotStarted)
 		}, verdict.NotRun, 2},
@@ -159,6 +161,10 @@
 				h := &hostile{}
 				go h.serve(l, c.before, c.bad)
 				client := backend.New(network.Dialer(caller))
+				defer func() {
+					client.Close()
+					network.Kill(server.Addr())
+				}()
 				id := request.Issue(request.Key{1}, server, 1, 1, 0)
 				call := backend.Call{Server: server, Request: id, Stage: "a", Attempt: 1}
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -171,8 +177,6 @@
 				assert.Equal(t, verdict.Of(err), c.want, "got %v", err)
 				synctest.Wait()
 				assert.Equal(t, h.count(), c.arrivals)
-				client.Close()
-				network.Kill(server.Addr())
 			})
 		})
 	}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -33,6 +33,10 @@
 	if err == nil || !mayAdopt(spec, err) {
 		return nil, err
 	}
+	if readyErr := n.mayAdmit(); readyErr != nil {
+		// What a node that is not ready holds of the configuration says nothing.
+		return nil, verdict.AfterSend(readyErr)
+	}
 	if _, planErr := n.repeatablePlan(spec); planErr != nil {
 		return nil, verdict.AfterSend(planErr)
 	}
@@ -68,6 +72,9 @@
 }
 
 func (n *Node) submitNew(spec request.Spec) (*table.Run, error) {
+	if err := n.mayAdmit(); err != nil {
+		return nil, err
+	}
 	p, err := n.newPlan(spec)
 	if err != nil {
 		return nil, err
