--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -100,7 +100,6 @@
 }
 
 const (
-	outputText = "text"
 	outputJSON = "json"
 )
 
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -174,7 +174,7 @@
 	if e.Verdict != verdict.NotRun && j.unrepeatable {
 		return false
 	}
-	if e.Reason == verdict.ReasonTooLarge || e.Reason == verdict.ReasonSuperseded {
+	if e.Reason == verdict.ReasonTooLarge {
 		return false
 	}
 	if e.Verdict == verdict.NotRun && e.Reason == verdict.ReasonConnection {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -39,8 +39,6 @@
 	PathLoad        = "/v1/load"
 	PathOrders      = "/v1/orders"
 	PathCacheEvents = "/v1/cache-events"
-	PathKVExport    = "/v1/kv/export"
-	PathKVImport    = "/v1/kv/import"
 )
 
 // MaxResultBytes bounds the result of one stage.
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -89,7 +89,6 @@
 	ReasonRefused           Reason = "refused"
 	ReasonBadAnswer         Reason = "bad_answer"
 	ReasonConnection        Reason = "connection"
-	ReasonSuperseded        Reason = "superseded"
 )
 
 // Error is an error that bears a verdict.
