--- a/cmd/wingvaled/main.go
+++ b/cmd/wingvaled/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/wingvale/wingvale/internal/daemon"
 	"github.com/wingvale/wingvale/internal/settings"
+	"github.com/wingvale/wingvale/platform"
 )
 
 const (
@@ -22,19 +23,57 @@
 )
 
 type arguments struct {
+	Run      runCommand      `cmd:"" default:"withargs" help:"Run one entry host with its own interface."`
+	Platform platformCommand `cmd:"" help:"Run one entry host on the users' platform."`
+}
+
+type runCommand struct {
 	Settings string `arg:"" type:"path" help:"The node's settings, an INI file."`
 }
 
+type platformCommand struct {
+	Settings string `arg:"" optional:"" type:"path" help:"The node's settings, an INI file; by default where the platform puts them."`
+}
+
+// settingsError is what is wrong with settings.
+type settingsError struct{ error }
+
+// Run runs the daemon.
+func (c *runCommand) Run() error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return settingsError{err}
+	}
+	return daemon.Run(s, os.Stderr)
+}
+
+// Run runs the daemon on the platform.
+func (c *platformCommand) Run() error {
+	path := c.Settings
+	if path == "" {
+		var err error
+		if path, err = platform.SettingsPath(); err != nil {
+			return settingsError{err}
+		}
+	}
+	s, err := settings.LoadGateway(path)
+	if err != nil {
+		return settingsError{err}
+	}
+	return daemon.RunGateway(path, s, os.Stdout)
+}
+
 func main() {
 	var a arguments
-	kong.Parse(&a, kong.Name("wingvaled"), kong.Description("Runs one wingvale entry host until it is told to stop."))
-	s, err := settings.Load(a.Settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitSettings)
+	ctx := kong.Parse(&a, kong.Name("wingvaled"), kong.Description("Runs one wingvale entry host until it is told to stop."))
+	err := ctx.Run()
+	if err == nil || errors.Is(err, context.Canceled) {
+		return
 	}
-	if err := daemon.Run(s, os.Stderr); err != nil && !errors.Is(err, context.Canceled) {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitFailed)
+	fmt.Fprintln(os.Stderr, err)
+	var wrong settingsError
+	if errors.As(err, &wrong) {
+		os.Exit(exitSettings)
 	}
+	os.Exit(exitFailed)
 }
--- a/internal/campaign/publish.go
+++ b/internal/campaign/publish.go
@@ -8,7 +8,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/wingvale/wingvale/internal/platform"
+	"github.com/wingvale/wingvale/internal/publisher"
 )
 
 func platformDown(r *run) (func(), time.Duration) {
@@ -29,9 +29,9 @@
 	if !r.take("platform") {
 		return nil, 0
 	}
-	space := platform.SpaceConfiguration
+	space := publisher.SpaceConfiguration
 	if r.random.IntN(2) == 0 {
-		space = platform.SpaceHosts
+		space = publisher.SpaceHosts
 	}
 	reader := netip.Addr{}
 	if r.random.IntN(2) == 0 {
@@ -68,7 +68,7 @@
 }
 
 func (r *run) publish(value string) (func(), time.Duration) {
-	r.site.Configuration.Publish(platform.SpaceConfiguration, changing, value)
+	r.site.Configuration.Publish(publisher.SpaceConfiguration, changing, value)
 	return func() {}, time.Millisecond
 }
 
@@ -81,7 +81,7 @@
 }
 
 func publishRemoval(r *run) (func(), time.Duration) {
-	r.site.Configuration.Remove(platform.SpaceConfiguration, changing)
+	r.site.Configuration.Remove(publisher.SpaceConfiguration, changing)
 	return func() {}, time.Millisecond
 }
 
@@ -93,14 +93,14 @@
 func publishVersion(r *run) (func(), time.Duration) {
 	r.version++
 	value := fmt.Sprintf(`{"format":1,"name":"colour-guide","version":"v%d","pool":"language-models","bytes":16000000000,"replicas":8}`, r.version)
-	r.site.Configuration.Publish(platform.SpaceConfiguration, modelKey, value)
+	r.site.Configuration.Publish(publisher.SpaceConfiguration, modelKey, value)
 	return func() {}, time.Millisecond
 }
 
 // publishFork shows one node other bytes than the rest under one revision.
 func publishFork(r *run) (func(), time.Duration) {
 	n := r.site.Nodes()[r.random.IntN(len(r.site.Nodes()))]
-	revision := r.site.Configuration.Revision(platform.SpaceConfiguration) + 1
+	revision := r.site.Configuration.Revision(publisher.SpaceConfiguration) + 1
 	r.site.Configuration.Fork(n.Caller.Addr(), changing, revision, changeValue(500))
 	return r.publish(changeValue(1 + r.random.IntN(400)))
 }
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -18,7 +18,7 @@
 
 	"github.com/wingvale/wingvale/internal/harness"
 	"github.com/wingvale/wingvale/internal/memnet"
-	"github.com/wingvale/wingvale/internal/platform"
+	"github.com/wingvale/wingvale/internal/publisher"
 	"github.com/wingvale/wingvale/internal/sites"
 )
 
@@ -115,7 +115,7 @@
 // change publishes a value and waits until every node has it.
 func change(s *harness.Site, weight int) (time.Duration, error) {
 	value := fmt.Sprintf(`{"format":1,"name":"training","customer":"farbwerk","weight":%d,"pipelines":{}}`, weight)
-	revision := s.Configuration.Publish(platform.SpaceConfiguration, key, value)
+	revision := s.Configuration.Publish(publisher.SpaceConfiguration, key, value)
 	return await(s, func(n *harness.Node) bool { return n.Revisions()[key] >= revision })
 }
 
@@ -134,15 +134,15 @@
 
 // stale lets only the nodes of one zone see the change at the service.
 func stale(s *harness.Site) (time.Duration, error) {
-	revision := s.Configuration.Revision(platform.SpaceConfiguration)
+	revision := s.Configuration.Revision(publisher.SpaceConfiguration)
 	for _, n := range s.Nodes() {
 		if n.Zone != s.Nodes()[0].Zone {
-			s.Configuration.SetStale(platform.SpaceConfiguration, n.Caller.Addr(), revision)
+			s.Configuration.SetStale(publisher.SpaceConfiguration, n.Caller.Addr(), revision)
 		}
 	}
 	took, err := change(s, 12)
 	for _, n := range s.Nodes() {
-		s.Configuration.SetStale(platform.SpaceConfiguration, n.Caller.Addr(), 0)
+		s.Configuration.SetStale(publisher.SpaceConfiguration, n.Caller.Addr(), 0)
 	}
 	return took, err
 }
@@ -169,7 +169,7 @@
 	}
 	each(network.Cut)
 	value := `{"format":1,"name":"training","customer":"farbwerk","weight":13,"pipelines":{}}`
-	revision := s.Configuration.Publish(platform.SpaceConfiguration, key, value)
+	revision := s.Configuration.Publish(publisher.SpaceConfiguration, key, value)
 	time.Sleep(spreadFor)
 	network.HealAll()
 	return await(s, func(n *harness.Node) bool { return n.Revisions()[key] >= revision })
--- /dev/null
+++ b/internal/daemon/gateway.go
@@ -0,0 +1,130 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package daemon
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wingvale/wingvale/internal/logging"
+	"github.com/wingvale/wingvale/internal/settings"
+	"github.com/wingvale/wingvale/platform"
+)
+
+const (
+	// silentFor is how long sent bytes may stay unacknowledged before their
+	// connection is given up; the networks have round trips of milliseconds.
+	silentFor = 2 * time.Second
+	// logFor is how long the last log lines may take at the end.
+	logFor = 200 * time.Millisecond
+	// keepAliveProbes unanswered end a connection.
+	keepAliveProbes = 2
+)
+
+// RunGateway runs a node on the users' platform until SIGTERM or SIGINT has
+// stopped it as planned, or a second signal at once. SIGHUP makes it read its
+// settings again.
+func RunGateway(path string, s settings.Gateway, out io.Writer) error {
+	lines := logging.NewWriter(out, logging.DefaultLines)
+	defer flush(lines)
+	log := logrus.New()
+	log.SetOutput(lines)
+	log.SetLevel(s.LogLevel)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "15:04:05.000"})
+	scope, scraped, closer := Metrics()
+	defer func() { _ = closer.Close() }()
+	dialer := &net.Dialer{
+		Control:         setSilence,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: keepAliveProbes},
+	}
+	listener := &net.ListenConfig{
+		Control:         setSilence,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: keepAliveProbes},
+	}
+	p := platform.New(platform.Options{
+		Settings: s,
+		Log:      log.WithField("node", s.Callers.String()),
+		Scope:    scope,
+		Dial:     dialer.DialContext,
+		Listen: func(a netip.AddrPort) (net.Listener, error) {
+			return listener.Listen(context.Background(), "tcp", a.String())
+		},
+		Metrics: scraped,
+		Seed:    rand.Uint64(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go awaitGateway(p, path, s, cancel, log)
+	log.WithFields(logrus.Fields{"node": s.Callers, "peer": s.Peer, "zone": s.Zone, "seeds": s.Seeds}).Info("started")
+	err := p.Run(ctx)
+	log.WithError(err).Info("stopped")
+	return err
+}
+
+// flush writes the last log lines, for as long as somebody reads.
+func flush(lines *logging.Writer) {
+	lines.Close()
+	select {
+	case <-lines.Done():
+	case <-time.After(logFor):
+	}
+}
+
+// setSilence bounds how long a connection waits for a peer that is silent.
+func setSilence(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		const tcpUserTimeout = 0x12
+		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(silentFor.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// awaitGateway acts on signals until the process ends.
+func awaitGateway(p *platform.Process, path string, s settings.Gateway, cancel context.CancelFunc, log logrus.FieldLogger) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	stopping := false
+	for {
+		select {
+		case <-p.Done():
+			return
+		case received := <-signals:
+			log.WithField("signal", received.String()).Info("signal")
+			if received == syscall.SIGHUP {
+				reload(path, s, log)
+				continue
+			}
+			if stopping {
+				cancel()
+				return
+			}
+			stopping = true
+			p.Stop()
+		}
+	}
+}
+
+// reload reads the settings again. Addresses cannot change while the process
+// runs; a file that is wrong leaves the old settings in force.
+func reload(path string, old settings.Gateway, log logrus.FieldLogger) {
+	s, err := settings.LoadGateway(path)
+	if err != nil {
+		log.WithError(err).Warn("settings not taken; the old ones stay in force")
+		return
+	}
+	log.WithField("changed", s.Callers != old.Callers || s.Peer != old.Peer).Info("settings read again")
+}
--- /dev/null
+++ b/internal/gateway/members.go
@@ -0,0 +1,104 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wingvale/wingvale/internal/relay"
+)
+
+const (
+	// lapsedFor is how long a server whose entry is missing after an outage of
+	// the publisher is kept: entries that lapsed meanwhile are back within 2 s.
+	lapsedFor = 1800 * time.Millisecond
+	// outageTail is how long after an outage a removal counts as a lapse.
+	outageTail = 4 * time.Second
+)
+
+// members turns the published backend servers into those to use: entries that
+// lapsed because the publisher was away are kept for a while.
+type members struct {
+	mu sync.Mutex
+	// used are the servers given out last, by instance.
+	used map[string]relay.Server
+	// lapsed has until when servers without an entry are kept.
+	lapsed map[string]time.Time
+	// away says that the publisher does not answer; backAt is when it last came
+	// back.
+	away   bool
+	backAt time.Time
+}
+
+func newMembers() *members {
+	return &members{used: make(map[string]relay.Server), lapsed: make(map[string]time.Time)}
+}
+
+func (m *members) lost(time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.away = true
+}
+
+func (m *members) regained(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.away = false
+	m.backAt = now
+}
+
+// due reports whether a lapsed server is to be let go.
+func (m *members) due(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, until := range m.lapsed {
+		if now.After(until) {
+			return true
+		}
+	}
+	return false
+}
+
+// merge returns the servers to use.
+func (m *members) merge(now time.Time, listed map[string]relay.Server, log logrus.FieldLogger) []relay.Server {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	used := make(map[string]relay.Server, len(listed))
+	for _, s := range listed {
+		used[s.Instance] = s
+		delete(m.lapsed, s.Instance)
+		if old, ok := m.used[s.Instance]; !ok || old.Leaving != s.Leaving {
+			log.WithFields(logrus.Fields{"server": s.Instance, "service": s.Service, "address": s.Address, "leaving": s.Leaving}).Info("backend server listed")
+		}
+	}
+	for instance, s := range m.used {
+		if _, ok := used[instance]; ok {
+			continue
+		}
+		until, waiting := m.lapsed[instance]
+		recent := m.away || !m.backAt.IsZero() && now.Sub(m.backAt) < outageTail
+		switch {
+		case waiting && now.Before(until):
+			used[instance] = s
+		case !waiting && recent && !s.Leaving:
+			m.lapsed[instance] = now.Add(lapsedFor)
+			used[instance] = s
+			log.WithFields(logrus.Fields{"server": instance, "service": s.Service, "kept_ms": lapsedFor.Milliseconds()}).Info("backend server lapsed")
+		default:
+			delete(m.lapsed, instance)
+			log.WithFields(logrus.Fields{"server": instance, "service": s.Service}).Info("backend server gone")
+		}
+	}
+	m.used = used
+	list := make([]relay.Server, 0, len(used))
+	for _, s := range used {
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b relay.Server) int { return a.Address.Compare(b.Address) })
+	return list
+}
--- /dev/null
+++ b/internal/gateway/node.go
@@ -0,0 +1,344 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wingvale/wingvale/internal/exchange"
+	"github.com/wingvale/wingvale/internal/fleet"
+	"github.com/wingvale/wingvale/internal/peer"
+	"github.com/wingvale/wingvale/internal/peer/peerpb"
+	"github.com/wingvale/wingvale/internal/published"
+	"github.com/wingvale/wingvale/internal/publisher"
+	"github.com/wingvale/wingvale/internal/relay"
+	"github.com/wingvale/wingvale/internal/settings"
+	"github.com/wingvale/wingvale/internal/stagepool"
+	"github.com/wingvale/wingvale/request"
+)
+
+// Options are a Node's dependencies; all are needed.
+type Options struct {
+	Settings settings.Gateway
+	Log      logrus.FieldLogger
+	Scope    tally.Scope
+	Dial     exchange.Dial
+	// Source is where configuration and backend servers are read.
+	Source publisher.Source
+	// ConfigurationKey is the key that has the whole configuration.
+	ConfigurationKey string
+	// DecodeConfiguration and DecodeServer depend on nothing but their
+	// arguments, so that all nodes accept alike.
+	DecodeConfiguration func(key string, data []byte) (*relay.Catalog, error)
+	DecodeServer        func(key string, data []byte) (relay.Server, error)
+	Dialect             relay.Dialect
+	// StageDriver returns what speaks to stage servers over the connections of
+	// pool.
+	StageDriver func(pool *exchange.Pool) stagepool.Driver
+	Seed        uint64
+}
+
+// Node is one host. Run must be called once.
+type Node struct {
+	options  Options
+	settings settings.Gateway
+	log      logrus.FieldLogger
+
+	configuration *published.Store[*relay.Catalog]
+	listed        *published.Store[relay.Server]
+	view          *fleet.View
+	gossip        *peer.Gossip
+	watchers      []*publisher.Watcher
+	peers         *http.Client
+	backends      *exchange.Pool
+	stages        *stagepool.Group
+	core          *relay.Core
+	members       *members
+	confirm       *confirmer
+	random        *rand.Rand
+
+	ctx      context.Context
+	end      context.CancelFunc
+	ready    atomic.Bool
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+	// lastTick is when the process was last seen to run, from start.
+	lastTick atomic.Int64
+	start    time.Time
+	done     chan struct{}
+}
+
+// New returns a node that has not started.
+func New(o Options) *Node {
+	now := time.Now()
+	s := o.Settings
+	random := rand.New(rand.NewPCG(o.Seed, uint64(s.Callers.Port())))
+	ctx, end := context.WithCancel(context.Background())
+	n := &Node{
+		options:       o,
+		settings:      s,
+		log:           o.Log,
+		configuration: published.New(o.DecodeConfiguration),
+		listed:        published.New(o.DecodeServer),
+		peers:         newPeerClient(o.Dial),
+		backends:      exchange.NewPool(o.Dial),
+		random:        random,
+		ctx:           ctx,
+		end:           end,
+		start:         now,
+		done:          make(chan struct{}),
+	}
+	n.view = fleet.New(fleet.Member{
+		Address:     s.Callers,
+		Peer:        s.Peer,
+		Zone:        s.Zone,
+		Incarnation: request.Incarnation(random.Uint64()),
+		Beat:        uint64(now.UnixMilli()),
+	}, now, fleet.Options{})
+	n.gossip = peer.New(peer.Options{
+		View:     n.view,
+		Spaces:   peer.Spaces{peerpb.Space_SPACE_CONFIGURATION: n.configuration, peerpb.Space_SPACE_HOSTS: n.listed},
+		HTTP:     n.peers,
+		Log:      n.log,
+		Scope:    o.Scope.SubScope("peer"),
+		Random:   child(random),
+		Listed:   func(netip.AddrPort) bool { return true },
+		Accepted: func(peerpb.Space, []published.Entry) { n.refresh() },
+	})
+	n.stages = stagepool.New(ctx, stagepool.Options{
+		Self:   s.Callers,
+		Live:   n.live,
+		Driver: o.StageDriver(n.backends),
+		HTTP:   n.peers,
+		Log:    n.log,
+		Scope:  o.Scope.SubScope("stages"),
+	})
+	n.confirm = newConfirmer(n)
+	n.core = relay.New(relay.Options{
+		Zone:         s.Zone,
+		Dialect:      o.Dialect,
+		Servers:      n.backends,
+		Stages:       n.stages,
+		Confirm:      n.confirm.now,
+		Hosts:        func() int { return len(n.live()) },
+		Log:          n.log,
+		Scope:        o.Scope,
+		Random:       child(random),
+		RetryShare:   s.RetryShare,
+		RetryReserve: s.RetryReserve,
+		RetryWindow:  s.RetryWindow,
+	})
+	n.members = newMembers()
+	n.watchers = []*publisher.Watcher{
+		n.newWatcher(publisher.SpaceConfiguration, peerpb.Space_SPACE_CONFIGURATION, n.configuration),
+		n.newWatcher(publisher.SpaceHosts, peerpb.Space_SPACE_HOSTS, n.listed),
+	}
+	return n
+}
+
+func child(random *rand.Rand) *rand.Rand {
+	return rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
+}
+
+const (
+	peerConnectFor = 400 * time.Millisecond
+	peerIdle       = 30 * time.Second
+	peerIdleMost   = 64
+)
+
+func newPeerClient(dial exchange.Dial) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, peerConnectFor)
+			defer cancel()
+			return dial(ctx, network, address)
+		},
+		MaxIdleConnsPerHost: peerIdleMost,
+		IdleConnTimeout:     peerIdle,
+		DisableCompression:  true,
+	}}
+}
+
+// watchersAll is up to how many nodes all watch; above, watchersPerZone do in
+// each availability zone, and the rest hear from peers.
+const (
+	watchersAll     = 12
+	watchersPerZone = 3
+	// backoffMost bounds the pause between tries to reach the publisher, so
+	// that its return is noticed in time.
+	backoffMost = 500 * time.Millisecond
+)
+
+func (n *Node) newWatcher(space publisher.Space, id peerpb.Space, store publisher.Store) *publisher.Watcher {
+	return publisher.NewWatcher(publisher.WatcherOptions{
+		Source: n.options.Source,
+		Space:  space,
+		Store:  store,
+		Must: func() bool {
+			return len(n.live()) <= watchersAll || peer.Elected(n.view, string(space), watchersPerZone)
+		},
+		Accepted: func(entries []published.Entry) {
+			n.refresh()
+			n.gossip.Spread(id, entries)
+		},
+		Lost:        func() { n.members.lost(time.Now()) },
+		Regained:    func() { n.members.regained(time.Now()) },
+		Log:         n.log,
+		Random:      child(n.random),
+		MostBackoff: backoffMost,
+	})
+}
+
+// live returns the nodes that work, this one included unless it leaves.
+func (n *Node) live() []stagepool.Peer {
+	var peers []stagepool.Peer
+	if !n.leaving.Load() {
+		peers = append(peers, stagepool.Peer{Address: n.settings.Callers, Control: n.settings.Peer})
+	}
+	for _, m := range n.view.Members() {
+		if m.State == fleet.StateLive {
+			peers = append(peers, stagepool.Peer{Address: m.Address, Control: m.Peer})
+		}
+	}
+	return peers
+}
+
+// Done is closed when Run has returned.
+func (n *Node) Done() <-chan struct{} {
+	return n.done
+}
+
+// Core returns what serves requests.
+func (n *Node) Core() *relay.Core {
+	return n.core
+}
+
+// Run serves the other nodes on l and keeps the node's knowledge up to date
+// until ctx ends.
+func (n *Node) Run(ctx context.Context, l net.Listener) error {
+	defer close(n.done)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	mux := chi.NewRouter()
+	path, handler := n.gossip.Handler()
+	mux.Mount(path, handler)
+	path, handler = n.stages.Handler()
+	mux.Mount(path, handler)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * peerIdle}
+	var parts sync.WaitGroup
+	for _, w := range n.watchers {
+		parts.Go(func() { w.Run(ctx) })
+	}
+	parts.Go(func() { n.gossip.Run(ctx) })
+	parts.Go(func() { n.upkeep(ctx) })
+	parts.Go(func() { n.begin(ctx) })
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	err := server.Serve(l)
+	cancel()
+	n.end()
+	parts.Wait()
+	n.backends.Close()
+	n.peers.CloseIdleConnections()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+const (
+	headerTimeout = 5 * time.Second
+	tickEvery     = 200 * time.Millisecond
+	// pausedAfter is the gap between two ticks that means that the process
+	// stood still, so that what it knows may be old.
+	pausedAfter = 1500 * time.Millisecond
+	pruneEvery  = time.Second
+)
+
+// upkeep notices pauses, closes old connections, and lets lapsed servers go.
+func (n *Node) upkeep(ctx context.Context) {
+	n.lastTick.Store(int64(time.Since(n.start)))
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	pruned := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		if n.paused() {
+			n.log.WithField("gap_ms", (now.Sub(n.start) - time.Duration(n.lastTick.Load())).Milliseconds()).
+				Warn("the process stood still; confirming the configuration")
+			n.confirm.now(ctx)
+		}
+		n.lastTick.Store(int64(time.Since(n.start)))
+		if n.members.due(now) {
+			n.refresh()
+		}
+		if now.Sub(pruned) >= pruneEvery {
+			pruned = now
+			n.backends.Prune(now)
+		}
+	}
+}
+
+func (n *Node) paused() bool {
+	return time.Since(n.start)-time.Duration(n.lastTick.Load()) > pausedAfter
+}
+
+// refresh brings the core and the stage pools in line with what is published.
+func (n *Node) refresh() {
+	if catalog, ok := n.configuration.Get(n.options.ConfigurationKey); ok {
+		if old := n.core.Catalog(); old == nil || old.Version != catalog.Version {
+			n.log.WithFields(logrus.Fields{"version": catalog.Version, "revision": n.configuration.Revision(n.options.ConfigurationKey)}).
+				Info("configuration in force")
+		}
+		n.core.SetCatalog(catalog)
+	}
+	servers := n.members.merge(time.Now(), n.listed.Values(), n.log)
+	n.core.SetServers(servers)
+	if catalog := n.core.Catalog(); catalog != nil {
+		n.stages.Configure(poolsOf(catalog, servers))
+	}
+}
+
+// poolsOf returns the stage pools of a configuration and their servers.
+func poolsOf(catalog *relay.Catalog, servers []relay.Server) (map[string]stagepool.Spec, map[string][]stagepool.Server) {
+	specs := make(map[string]stagepool.Spec)
+	for name, s := range catalog.Services() {
+		if s.Batch == nil {
+			continue
+		}
+		specs[name] = stagepool.Spec{
+			Service:   name,
+			Size:      s.Batch.Size,
+			Slots:     s.Batch.Slots,
+			CallTime:  s.Batch.CallTime,
+			PieceTime: s.Batch.PieceTime,
+			Room:      s.Batch.Room,
+			Hold:      s.Batch.Hold,
+		}
+	}
+	byService := make(map[string][]stagepool.Server)
+	for _, s := range servers {
+		if _, ok := specs[s.Service]; ok {
+			byService[s.Service] = append(byService[s.Service], stagepool.Server{
+				Instance: s.Instance, Address: s.Address, Zone: s.Zone, Leaving: s.Leaving,
+			})
+		}
+	}
+	return specs, byService
+}
--- /dev/null
+++ b/internal/gateway/ready.go
@@ -0,0 +1,150 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/wingvale/wingvale/internal/fleet"
+	"github.com/wingvale/wingvale/internal/relay"
+)
+
+const (
+	// meetEvery is how often a starting node looks for peers, and seedsEvery
+	// how often a running one tries its seeds again, so that parts of the fleet
+	// that started apart meet.
+	meetEvery  = 100 * time.Millisecond
+	seedsEvery = 3 * time.Second
+	// entriesMost bounds the addresses in one answer.
+	entriesMost = 64
+	// announceTo is how many peers hear at once that a node leaves.
+	announceTo = 8
+)
+
+// begin makes the node ready once it has what the publisher and the peers have,
+// and goes on to look for peers at the seeds.
+func (n *Node) begin(ctx context.Context) {
+	patience := time.Now().Add(n.settings.ReadyAfter)
+	for ctx.Err() == nil {
+		met := n.meet(ctx)
+		read := n.read()
+		patient := time.Now().Before(patience)
+		known := n.core.Catalog() != nil
+		if known && (read && met || !patient && (read || met)) {
+			n.ready.Store(true)
+			n.log.WithField("read", read).WithField("met", met).Info("ready")
+			break
+		}
+		sleep(ctx, meetEvery)
+	}
+	for ctx.Err() == nil {
+		sleep(ctx, seedsEvery)
+		n.meetSeeds(ctx)
+	}
+}
+
+// read reports whether all spaces have been read from the publisher once.
+func (n *Node) read() bool {
+	for _, w := range n.watchers {
+		select {
+		case <-w.First():
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// meet looks for peers and takes over what they have.
+func (n *Node) meet(ctx context.Context) bool {
+	n.meetSeeds(ctx)
+	met := n.gossip.Synchronise(ctx, consulted) > 0
+	n.refresh()
+	return met
+}
+
+// meetSeeds contacts a seed that the view does not hold for live.
+func (n *Node) meetSeeds(ctx context.Context) {
+	seeds := slices.Clone(n.settings.Seeds)
+	for _, seed := range seeds {
+		if seed == n.settings.Peer || n.knows(seed) {
+			continue
+		}
+		n.gossip.Meet(ctx, seed)
+	}
+}
+
+func (n *Node) knows(control netip.AddrPort) bool {
+	for _, m := range n.view.Members() {
+		if m.Peer == control && m.State == fleet.StateLive {
+			return true
+		}
+	}
+	return false
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Ready reports whether callers should be sent here.
+func (n *Node) Ready() bool {
+	return n.ready.Load() && !n.leaving.Load()
+}
+
+// Leaving reports whether a planned stop has begun.
+func (n *Node) Leaving() bool {
+	return n.leaving.Load()
+}
+
+// Leave begins a planned stop: the peers are told, and callers are sent
+// elsewhere from now on.
+func (n *Node) Leave(ctx context.Context) {
+	if !n.leaving.CompareAndSwap(false, true) {
+		return
+	}
+	n.log.Info("leaving")
+	n.view.Leave()
+	n.gossip.Announce(ctx, announceTo)
+}
+
+// Entries returns the addresses that callers should use.
+func (n *Node) Entries() []netip.AddrPort {
+	var entries []netip.AddrPort
+	if n.Ready() {
+		entries = append(entries, n.settings.Callers)
+	}
+	for _, p := range n.live() {
+		if p.Address != n.settings.Callers {
+			entries = append(entries, p.Address)
+		}
+	}
+	// Answers are bounded, so that each caller of a large fleet gets others.
+	rand.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+	return entries[:min(len(entries), entriesMost)]
+}
+
+// InFlight returns how many requests are being served.
+func (n *Node) InFlight() int64 {
+	return n.inFlight.Load()
+}
+
+// Serve serves one request; see relay.Core.Serve.
+func (n *Node) Serve(ctx context.Context, r *relay.Request, sink relay.Sink) error {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	if n.paused() {
+		n.confirm.now(ctx)
+	}
+	return n.core.Serve(ctx, r, sink)
+}
--- a/internal/harness/harness.go
+++ b/internal/harness/harness.go
@@ -18,8 +18,8 @@
 
 	"github.com/wingvale/wingvale/client"
 	"github.com/wingvale/wingvale/internal/node"
-	"github.com/wingvale/wingvale/internal/platform"
 	"github.com/wingvale/wingvale/internal/published"
+	"github.com/wingvale/wingvale/internal/publisher"
 	"github.com/wingvale/wingvale/internal/settings"
 	"github.com/wingvale/wingvale/internal/sites"
 	"github.com/wingvale/wingvale/internal/standin"
@@ -113,7 +113,7 @@
 		return err
 	}
 	for _, key := range slices.Sorted(maps.Keys(values)) {
-		s.Configuration.Publish(platform.SpaceConfiguration, key, values[key])
+		s.Configuration.Publish(publisher.SpaceConfiguration, key, values[key])
 	}
 	sizes := make(map[string]int64)
 	for _, v := range values {
@@ -178,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	s.Configuration.Publish(platform.SpaceHosts, h.Address.String(), string(data))
+	s.Configuration.Publish(publisher.SpaceHosts, h.Address.String(), string(data))
 	return nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,8 +25,8 @@
 	"github.com/wingvale/wingvale/internal/limit"
 	"github.com/wingvale/wingvale/internal/peer"
 	"github.com/wingvale/wingvale/internal/peer/peerpb"
-	"github.com/wingvale/wingvale/internal/platform"
 	"github.com/wingvale/wingvale/internal/published"
+	"github.com/wingvale/wingvale/internal/publisher"
 	"github.com/wingvale/wingvale/internal/queue"
 	"github.com/wingvale/wingvale/internal/settings"
 	"github.com/wingvale/wingvale/internal/table"
@@ -74,8 +74,8 @@
 	hosts         *published.Store[published.Host]
 	view          *fleet.View
 	gossip        *peer.Gossip
-	platform      *platform.Client
-	watchers      []*platform.Watcher
+	publisher     *publisher.Client
+	watchers      []*publisher.Watcher
 	backends      *backend.Client
 	peers         *http.Client
 	forwards      *http.Client
@@ -116,7 +116,7 @@
 		scope:         o.Scope,
 		configuration: published.New(pipeline.Decode),
 		hosts:         published.New(published.DecodeHost),
-		platform:      platform.New(s.Platform, o.Dial),
+		publisher:     publisher.New(s.Platform, o.Dial),
 		backends:      backend.New(o.Dial),
 		peers:         newHTTPClient(o.Dial),
 		forwards:      newHTTPClient(o.Dial),
@@ -147,9 +147,9 @@
 		Listed:   n.listed,
 		Accepted: n.acceptedByPeer,
 	})
-	n.watchers = []*platform.Watcher{
-		n.newWatcher(platform.SpaceConfiguration, peerpb.Space_SPACE_CONFIGURATION, n.configuration),
-		n.newWatcher(platform.SpaceHosts, peerpb.Space_SPACE_HOSTS, n.hosts),
+	n.watchers = []*publisher.Watcher{
+		n.newWatcher(publisher.SpaceConfiguration, peerpb.Space_SPACE_CONFIGURATION, n.configuration),
+		n.newWatcher(publisher.SpaceHosts, peerpb.Space_SPACE_HOSTS, n.hosts),
 	}
 	n.pools = newPools(n)
 	n.placer = newPlacer(n)
@@ -185,9 +185,9 @@
 	return rand.New(rand.NewPCG(n.random.Uint64(), n.random.Uint64()))
 }
 
-func (n *Node) newWatcher(space platform.Space, id peerpb.Space, store platform.Store) *platform.Watcher {
-	return platform.NewWatcher(platform.WatcherOptions{
-		Client: n.platform,
+func (n *Node) newWatcher(space publisher.Space, id peerpb.Space, store publisher.Store) *publisher.Watcher {
+	return publisher.NewWatcher(publisher.WatcherOptions{
+		Source: n.publisher,
 		Space:  space,
 		Store:  store,
 		Must:   func() bool { return n.mustWatch(space) },
@@ -256,7 +256,7 @@
 	parts.Wait()
 	closeServer(ctx, peerServer)
 	servers.Wait()
-	n.platform.Close()
+	n.publisher.Close()
 	n.backends.Close()
 	n.peers.CloseIdleConnections()
 	n.forwards.CloseIdleConnections()
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -62,7 +62,7 @@
 		Pauses:        n.ready.pauses.Load(),
 		Running:       n.running.Load(),
 		Undisturbed:   pipeline.Duration(n.view.Undisturbed(time.Now()).Round(time.Millisecond)),
-		PlatformCalls: n.platform.Calls(),
+		PlatformCalls: n.publisher.Calls(),
 		Configuration: n.configuration.State(dumpLimit),
 		Hosts:         n.hosts.State(dumpLimit),
 		Members:       members[:min(len(members), dumpLimit)],
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -8,11 +8,8 @@
 	"sync/atomic"
 	"time"
 
-	"net/netip"
-
-	"github.com/wingvale/wingvale/internal/fleet"
-	"github.com/wingvale/wingvale/internal/owner"
-	"github.com/wingvale/wingvale/internal/platform"
+	"github.com/wingvale/wingvale/internal/peer"
+	"github.com/wingvale/wingvale/internal/publisher"
 )
 
 const (
@@ -173,18 +170,6 @@
 
 // mustWatch reports whether this node is one of those that watch the platform
 // for its zone. Nodes with different views may both watch, which does no harm.
-func (n *Node) mustWatch(space platform.Space) bool {
-	self := n.view.Self()
-	nodes := []netip.AddrPort{self.Address}
-	for _, m := range n.view.Members() {
-		if m.Zone == self.Zone && m.State == fleet.StateLive {
-			nodes = append(nodes, m.Address)
-		}
-	}
-	for _, a := range owner.Top(nodes, string(space), watchersPerZone) {
-		if a == self.Address {
-			return true
-		}
-	}
-	return false
+func (n *Node) mustWatch(space publisher.Space) bool {
+	return peer.Elected(n.view, string(space), watchersPerZone)
 }
--- a/internal/platform/client.go
+++ b/internal/publisher/client.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The Wingvale Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package platform
+package publisher
 
 import (
 	"context"
@@ -27,7 +27,7 @@
 
 // ErrCompacted says that the service no longer knows the revision to watch
 // from, so all keys must be read again.
-var ErrCompacted = errors.New("platform: the revision is too old to watch from")
+var ErrCompacted = errors.New("publisher: the revision is too old to watch from")
 
 // Client reads the platform. It is safe for concurrent use.
 type Client struct {
@@ -83,11 +83,11 @@
 func (c *Client) getFrom(ctx context.Context, address netip.AddrPort, path string) (Values, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+path, http.NoBody)
 	if err != nil {
-		return Values{}, fmt.Errorf("platform: %w", err)
+		return Values{}, fmt.Errorf("publisher: %w", err)
 	}
 	response, err := c.http.Do(r)
 	if err != nil {
-		return Values{}, fmt.Errorf("platform: %w", err)
+		return Values{}, fmt.Errorf("publisher: %w", err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	switch response.StatusCode {
@@ -96,6 +96,6 @@
 	case http.StatusGone:
 		return Values{}, ErrCompacted
 	default:
-		return Values{}, fmt.Errorf("platform: %s: status %d", address, response.StatusCode)
+		return Values{}, fmt.Errorf("publisher: %s: status %d", address, response.StatusCode)
 	}
 }
--- a/internal/platform/protocol.go
+++ b/internal/publisher/protocol.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The Wingvale Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package platform
+package publisher
 
 import (
 	"fmt"
@@ -45,11 +45,11 @@
 // Check refuses an answer with more keys than a store holds.
 func (v Values) Check() error {
 	if len(v.Values) > published.MaxKeys {
-		return fmt.Errorf("platform: %d keys, at most %d are allowed", len(v.Values), published.MaxKeys)
+		return fmt.Errorf("publisher: %d keys, at most %d are allowed", len(v.Values), published.MaxKeys)
 	}
 	for _, i := range v.Values {
 		if len(i.Value) > pipeline.MaxValueBytes {
-			return fmt.Errorf("platform: key %.80q has %d bytes, at most %d are allowed", i.Key, len(i.Value), pipeline.MaxValueBytes)
+			return fmt.Errorf("publisher: key %.80q has %d bytes, at most %d are allowed", i.Key, len(i.Value), pipeline.MaxValueBytes)
 		}
 	}
 	return nil
--- a/internal/platform/watcher.go
+++ b/internal/publisher/watcher.go
@@ -1,9 +1,10 @@
 // Copyright 2026 The Wingvale Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package platform
+package publisher
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -32,19 +33,35 @@
 	Complete(through uint64)
 }
 
+// Source is where published values are read from.
+type Source interface {
+	// Read returns all keys of space as they are now.
+	Read(ctx context.Context, space Space) (Values, error)
+	// Watch waits for changes of space after revision, and returns them, or
+	// nothing once some time has passed. It returns ErrCompacted where the
+	// revision is too old.
+	Watch(ctx context.Context, space Space, after uint64) (Values, error)
+}
+
 // Accepted is called with entries that came into force by a read.
 type Accepted func(entries []published.Entry)
 
 // WatcherOptions are a Watcher's dependencies; all are needed.
 type WatcherOptions struct {
-	Client *Client
+	Source Source
 	Space  Space
 	Store  Store
 	// Must reports whether this node is one of those that watch now.
 	Must     func() bool
 	Accepted Accepted
+	// Lost is told when the source stops to answer, Regained when it answers
+	// again; both may be nil.
+	Lost     func()
+	Regained func()
 	Log      logrus.FieldLogger
 	Random   *rand.Rand
+	// MostBackoff bounds the pause between tries; 0 takes the default.
+	MostBackoff time.Duration
 }
 
 // Watcher keeps one space up to date from the platform, for as long as this
@@ -76,6 +93,7 @@
 	defer close(w.done)
 	after, listed := uint64(0), time.Time{}
 	started := false
+	lost := false
 	backoff := backoffFirst
 	for ctx.Err() == nil {
 		if started && !w.options.Must() {
@@ -92,11 +110,20 @@
 			return
 		}
 		if err != nil {
-			w.options.Log.WithError(err).WithField("space", w.options.Space).Warn("the platform does not answer")
+			if !lost {
+				w.options.Log.WithError(err).WithField("space", w.options.Space).Warn("the platform does not answer")
+			}
+			lost = true
+			call(w.options.Lost)
 			sleep(ctx, backoff+time.Duration(w.options.Random.Int64N(int64(backoff))))
-			backoff = min(2*backoff, backoffMost)
+			backoff = min(2*backoff, cmp.Or(w.options.MostBackoff, backoffMost))
 			continue
 		}
+		if lost {
+			lost = false
+			w.options.Log.WithField("space", w.options.Space).WithField("revision", next).Info("the platform answers again")
+			call(w.options.Regained)
+		}
 		if time.Since(listed) > fullReadEvery {
 			listed = time.Now()
 		}
@@ -113,7 +140,7 @@
 // harm from it.
 func (w *Watcher) step(ctx context.Context, after uint64, full bool) (uint64, error) {
 	if full {
-		values, err := w.options.Client.Read(ctx, w.options.Space)
+		values, err := w.options.Source.Read(ctx, w.options.Space)
 		if err != nil {
 			return 0, err
 		}
@@ -122,7 +149,7 @@
 		w.options.Store.Complete(values.Revision)
 		return values.Revision, nil
 	}
-	values, err := w.options.Client.Watch(ctx, w.options.Space, after)
+	values, err := w.options.Source.Watch(ctx, w.options.Space, after)
 	if err != nil {
 		return 0, err
 	}
@@ -137,6 +164,12 @@
 	}
 }
 
+func call(f func()) {
+	if f != nil {
+		f()
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- /dev/null
+++ b/internal/relay/core.go
@@ -0,0 +1,123 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wingvale/wingvale/internal/exchange"
+	"github.com/wingvale/wingvale/internal/stagepool"
+)
+
+// Options are a Core's dependencies; all are needed.
+type Options struct {
+	Zone    string
+	Dialect Dialect
+	Servers *exchange.Pool
+	Stages  *stagepool.Group
+	// Confirm makes sure that the configuration in force is the newest there
+	// is, and reports whether it could.
+	Confirm func(ctx context.Context) bool
+	// Hosts returns how many hosts serve, this one included.
+	Hosts  func() int
+	Log    logrus.FieldLogger
+	Scope  tally.Scope
+	Random *rand.Rand
+	// RetryShare and RetryReserve bound retries over all hosts together: a
+	// share of the requests, and so many more in RetryWindow.
+	RetryShare   float64
+	RetryReserve float64
+	RetryWindow  time.Duration
+}
+
+// Core serves requests. It is safe for concurrent use.
+type Core struct {
+	options Options
+	log     logrus.FieldLogger
+	scope   tally.Scope
+	catalog atomic.Pointer[Catalog]
+	servers *servers
+	retries *retries
+
+	mu     sync.Mutex
+	random *rand.Rand
+	// waits has how long the pools of stage services last said that new work
+	// waits there.
+	waits map[string]waited
+}
+
+type waited struct {
+	wait time.Duration
+	at   time.Time
+}
+
+// New returns a core that knows neither a configuration nor servers.
+func New(o Options) *Core {
+	return &Core{
+		options: o,
+		log:     o.Log,
+		scope:   o.Scope,
+		servers: newServers(o.Zone, rand.New(rand.NewPCG(o.Random.Uint64(), o.Random.Uint64()))),
+		retries: newRetries(o.RetryShare, o.RetryReserve, o.RetryWindow, o.Hosts),
+		random:  o.Random,
+		waits:   make(map[string]waited),
+	}
+}
+
+// SetCatalog brings a configuration into force.
+func (c *Core) SetCatalog(catalog *Catalog) {
+	c.catalog.Store(catalog)
+}
+
+// Catalog returns the configuration in force, or nil.
+func (c *Core) Catalog() *Catalog {
+	return c.catalog.Load()
+}
+
+// SetServers replaces the backend servers.
+func (c *Core) SetServers(list []Server) {
+	c.servers.set(list)
+}
+
+// Servers returns what the dump shows of the backend servers.
+func (c *Core) Servers() []ServerState {
+	return c.servers.state()
+}
+
+// chance returns a number in [0, 1).
+func (c *Core) chance() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Float64()
+}
+
+const (
+	// waitHalf is the half-life of what a pool said of its waiting work.
+	waitHalf = 300 * time.Millisecond
+)
+
+func (c *Core) noteWait(service string, wait time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waits[service] = waited{wait: wait, at: time.Now()}
+}
+
+// wait is how long new work of a stage service waits, as far as is known.
+func (c *Core) wait(service string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.waits[service]
+	age := time.Since(w.at)
+	if w.at.IsZero() || age > 4*waitHalf {
+		return 0
+	}
+	return w.wait >> (age / waitHalf)
+}
--- /dev/null
+++ b/internal/relay/serve.go
@@ -0,0 +1,233 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wingvale/wingvale/verdict"
+)
+
+// Reasons beside those of package verdict.
+const (
+	ReasonNoRoute verdict.Reason = "no_route"
+	ReasonNoKey   verdict.Reason = "no_key"
+	ReasonTimeout verdict.Reason = "timeout"
+)
+
+// ErrCut says that an answer had begun and cannot be ended: the caller must see
+// that it is not whole.
+var ErrCut = errors.New("relay: the answer was cut off")
+
+// ErrLeft says that the caller has left.
+var ErrLeft = errors.New("relay: the caller has left")
+
+// retryLeast is the least time that a refused caller is told to stay away.
+const retryLeast = 100 * time.Millisecond
+
+// job is one request under way.
+type job struct {
+	*Request
+	core      *Core
+	route     *Route
+	workspace *Workspace
+	service   *Service
+	catalog   *Catalog
+	// objective and deadline are moments.
+	objective time.Time
+	deadline  time.Time
+	log       logrus.FieldLogger
+	// tried has the instances not to be tried again.
+	tried []string
+	// stagesFor and firstFor are how long the stages and the first byte took.
+	stagesFor time.Duration
+	firstFor  time.Duration
+
+	mu sync.Mutex
+	// attempts counts the sends that may have run, sends all of them.
+	attempts int
+	sends    int
+	// server is where it was sent last.
+	server Server
+}
+
+// sentTo notes a send.
+func (j *job) sentTo(s Server) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.server = s
+	j.sends++
+}
+
+// lastServer returns where the request was sent last.
+func (j *job) lastServer() Server {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.server
+}
+
+// mayHaveRun notes that a send may have run.
+func (j *job) mayHaveRun() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.attempts++
+}
+
+// ran returns how many sends may have run.
+func (j *job) ran() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.attempts
+}
+
+// sentTimes returns how many sends there were.
+func (j *job) sentTimes() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.sends
+}
+
+// Serve serves one request and passes its answer to sink. An error before the
+// sink was started is a *verdict.Error and nothing was passed on; after it, it
+// is ErrCut.
+func (c *Core) Serve(ctx context.Context, r *Request, sink Sink) error {
+	j, err := c.admit(ctx, r)
+	if err != nil {
+		c.finish(j, r, err)
+		return err
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	if j.route.Stream {
+		err = j.generate(ctx, sink)
+	} else {
+		err = j.plain(ctx, sink)
+	}
+	c.finish(j, r, err)
+	return err
+}
+
+// admit finds the route and the workspace, and refuses what cannot be served.
+func (c *Core) admit(ctx context.Context, r *Request) (*job, error) {
+	catalog := c.catalog.Load()
+	if catalog == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNotReady, "relay: no configuration yet").After(retryLeast)
+	}
+	route, workspace, refusal := catalog.authorise(r)
+	if refusal != nil {
+		// What is not known here may have come into force elsewhere.
+		if !c.options.Confirm(ctx) {
+			return nil, verdict.New(verdict.NotRun, verdict.ReasonNotReady, "relay: cannot confirm the configuration: %w", refusal).After(retryLeast)
+		}
+		catalog = c.catalog.Load()
+		if route, workspace, refusal = catalog.authorise(r); refusal != nil {
+			return nil, refusal
+		}
+	}
+	j := &job{Request: r, core: c, route: route, workspace: workspace, catalog: catalog}
+	j.service = catalog.Service(route.target(c.chance()))
+	if j.service == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoServer, "relay: route %s names no known service", route.Name).After(retryLeast)
+	}
+	held := route.Timeout
+	if r.Patience > 0 {
+		held = min(held, r.Patience)
+	}
+	j.deadline = r.Arrived.Add(held)
+	j.objective = r.Arrived.Add(route.Objective)
+	j.log = c.log.WithFields(logrus.Fields{"request": r.ID, "route": route.Name})
+	c.retries.first(j.service.Name)
+	return j, nil
+}
+
+// authorise finds whose request it is and its route.
+func (c *Catalog) authorise(r *Request) (*Route, *Workspace, error) {
+	route := c.Match(r.Host, r.Path)
+	if route == nil {
+		return nil, nil, verdict.New(verdict.NotRun, ReasonNoRoute, "relay: no route for host %.80q", r.Host)
+	}
+	if route.Public {
+		return route, &Workspace{}, nil
+	}
+	workspace, ok := c.Workspace(r.Key)
+	if !ok {
+		return nil, nil, verdict.New(verdict.NotRun, ReasonNoKey, "relay: unknown key")
+	}
+	return route, workspace, nil
+}
+
+// finish logs how a request ended.
+func (c *Core) finish(j *job, r *Request, err error) {
+	fields := logrus.Fields{"request": r.ID, "took_ms": time.Since(r.Arrived).Milliseconds()}
+	outcome := "answered"
+	if err != nil {
+		outcome = outcomeOf(err)
+		fields["error"] = err.Error()
+	}
+	fields["outcome"] = outcome
+	c.scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests").Inc(1)
+	if j != nil {
+		fields["route"] = j.route.Name
+		fields["workspace"] = j.workspace.Name
+		fields["config"] = j.catalog.Version
+		fields["server"] = j.lastServer().Instance
+		fields["sends"] = j.sentTimes()
+		fields["attempts"] = j.ran()
+		fields["stages_ms"] = j.stagesFor.Milliseconds()
+		fields["first_ms"] = j.firstFor.Milliseconds()
+		fields["objective_ms"] = j.route.Objective.Milliseconds()
+	}
+	c.log.WithFields(fields).Info("request ended")
+}
+
+func outcomeOf(err error) string {
+	switch {
+	case errors.Is(err, ErrCut):
+		return "cut"
+	case errors.Is(err, ErrLeft):
+		return "left"
+	default:
+		return string(verdict.As(err).Reason)
+	}
+}
+
+// left returns how long the caller and the operators wait yet.
+func (j *job) left() time.Duration {
+	return time.Until(j.deadline)
+}
+
+// interrupted says why ctx has ended, where it has.
+func (j *job) interrupted(ctx context.Context) error {
+	switch {
+	case ctx.Err() == nil:
+		return nil
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+		return j.expired()
+	default:
+		return ErrLeft
+	}
+}
+
+// expired is the answer at the deadline: not run where nothing was sent.
+func (j *job) expired() error {
+	if j.ran() == 0 {
+		return verdict.New(verdict.NotRun, ReasonTimeout, "relay: not started within %v", j.deadline.Sub(j.Arrived)).After(retryLeast)
+	}
+	return verdict.New(verdict.Unknown, ReasonTimeout, "relay: no answer within %v", j.deadline.Sub(j.Arrived))
+}
+
+// refuse is the answer where no server can be had.
+func (j *job) refuse(reason verdict.Reason, after time.Duration, format string, args ...any) error {
+	v := verdict.NotRun
+	if j.ran() > 0 {
+		v = verdict.Unknown
+	}
+	return verdict.New(v, reason, "relay: %s", fmt.Sprintf(format, args...)).After(max(after, retryLeast))
+}
--- /dev/null
+++ b/internal/relay/stages.go
@@ -0,0 +1,252 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wingvale/wingvale/internal/stagepool"
+	"github.com/wingvale/wingvale/verdict"
+)
+
+const (
+	// stageFactor times the time of an empty call is what a stage takes with
+	// its pieces and its wait, as measured on a calm day.
+	stageFactor = 1.5
+	// largeResult is the size from which a stage beside a longer chain is
+	// begun late, so that its results do not take up room while they wait.
+	largeResult = 256 << 10
+)
+
+// graph is the stages of one request under way.
+type graph struct {
+	job *job
+	// zone is where the last results will be used.
+	zone  string
+	depth []int
+	// results has those of each stage that has ended.
+	results [][]stagepool.Result
+}
+
+// stageEnd is the outcome of one stage.
+type stageEnd struct {
+	stage  int
+	answer stagepool.Answer
+}
+
+// newGraph returns the graph of a request whose last results are used in zone.
+func newGraph(j *job, zone string) *graph {
+	g := &graph{job: j, zone: zone}
+	g.depth = make([]int, len(j.route.Stages))
+	g.results = make([][]stagepool.Result, len(j.route.Stages))
+	// Stages name earlier ones, so one pass from the end finds the depths.
+	for i := len(j.route.Stages) - 1; i >= 0; i-- {
+		if g.depth[i] == 0 {
+			g.depth[i] = 1
+		}
+		for _, before := range j.route.Stages[i].After {
+			g.depth[before] = max(g.depth[before], g.depth[i]+1)
+		}
+	}
+	return g
+}
+
+// needed reports whether the request has any pieces to make.
+func (g *graph) needed() bool {
+	for i := range g.job.route.Stages {
+		if g.job.pieces(i) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// estimate is how long the stages take from one of that depth to the end.
+func (g *graph) estimate(depth int) time.Duration {
+	longest := make(map[int]time.Duration)
+	for i, stage := range g.job.route.Stages {
+		if g.job.pieces(i) == 0 || g.depth[i] > depth {
+			continue
+		}
+		longest[g.depth[i]] = max(longest[g.depth[i]], g.job.stageTime(stage.Service))
+	}
+	var total time.Duration
+	for _, t := range longest {
+		total += t
+	}
+	return total
+}
+
+// stageTime is how long one stage of a service takes.
+func (j *job) stageTime(service string) time.Duration {
+	s := j.catalog.Service(service)
+	if s == nil || s.Batch == nil {
+		return 0
+	}
+	return time.Duration(stageFactor*float64(s.Batch.CallTime)) + j.core.wait(service)
+}
+
+// run makes all pieces, each stage as soon as those before it have ended, but
+// large results no sooner than they are of use.
+func (g *graph) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stages := g.job.route.Stages
+	ends := make(chan stageEnd, len(stages))
+	started := make([]bool, len(stages))
+	ended := make([]bool, len(stages))
+	running := 0
+	var failed error
+	for {
+		for i := range stages {
+			if failed != nil || started[i] || !g.ready(i, ended) {
+				continue
+			}
+			started[i] = true
+			if g.job.pieces(i) == 0 {
+				ended[i] = true
+				continue
+			}
+			running++
+			w := g.work(i)
+			go func() { ends <- stageEnd{stage: i, answer: g.job.core.options.Stages.Run(ctx, w)} }()
+		}
+		if running == 0 {
+			if failed == nil && !all(ended) {
+				continue
+			}
+			return failed
+		}
+		end := <-ends
+		running--
+		ended[end.stage] = true
+		g.results[end.stage] = end.answer.Results
+		g.job.core.noteWait(stages[end.stage].Service, end.answer.Wait)
+		if end.answer.Failure != "" && failed == nil {
+			failed = g.failure(ctx, end)
+			cancel()
+		}
+	}
+}
+
+func all(flags []bool) bool {
+	for _, f := range flags {
+		if !f {
+			return false
+		}
+	}
+	return true
+}
+
+// ready reports whether a stage may start now.
+func (g *graph) ready(i int, ended []bool) bool {
+	stage := g.job.route.Stages[i]
+	for _, before := range stage.After {
+		if !ended[before] {
+			return false
+		}
+	}
+	if stage.ResultBytes < largeResult {
+		return true
+	}
+	// Everything that is two steps or more before the results are used must
+	// have ended: what is left then takes about as long as this stage.
+	for other := range g.depth {
+		if g.depth[other] > g.depth[i]+1 && !ended[other] && g.job.pieces(other) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (g *graph) work(i int) stagepool.Work {
+	j := g.job
+	stage := j.route.Stages[i]
+	after := g.estimate(g.depth[i]-1) + expectedRead(j.Request)
+	w := stagepool.Work{
+		Service:     stage.Service,
+		Request:     j.ID,
+		Stage:       i,
+		Workspace:   j.workspace.Name,
+		Route:       j.route.Name,
+		Latest:      j.objective.Add(-after),
+		Deadline:    j.deadline.Add(-after / 2),
+		Priority:    j.priority(),
+		ResultBytes: stage.ResultBytes,
+		Zone:        g.zone,
+	}
+	for p := range j.pieces(i) {
+		w.Pieces = append(w.Pieces, p)
+	}
+	if len(stage.After) == 0 {
+		w.Key = j.PieceKey
+	}
+	for _, before := range stage.After {
+		for _, r := range g.results[before] {
+			w.Inputs = append(w.Inputs, r.Handle)
+		}
+	}
+	return w
+}
+
+// priority is the request's rank: the workspace's before the route's.
+func (j *job) priority() int {
+	const ranks = 10
+	return j.workspace.Priority*ranks + j.route.Priority
+}
+
+// failure is what a failed stage means for the request.
+func (g *graph) failure(ctx context.Context, end stageEnd) error {
+	j := g.job
+	if interrupted := j.interrupted(ctx); interrupted != nil {
+		return interrupted
+	}
+	service := j.route.Stages[end.stage].Service
+	j.log.WithFields(logrus.Fields{
+		"stage": end.stage, "pool": service, "failure": end.answer.Failure, "owner": end.answer.Owner,
+		"wait_ms": end.answer.Wait.Milliseconds(), "left_ms": j.left().Milliseconds(),
+	}).Info("stage failed")
+	return j.refuse(verdict.ReasonOverload, end.answer.Wait+fullAfter, "stage %d at %s: %s", end.stage, service, end.answer.Failure)
+}
+
+// inputs returns the results that the request itself needs: those of the stages
+// that no other comes after.
+func (g *graph) inputs() []string {
+	var handles []string
+	for i := range g.job.route.Stages {
+		if g.depth[i] != 1 {
+			continue
+		}
+		for _, r := range g.results[i] {
+			handles = append(handles, r.Handle)
+		}
+	}
+	return handles
+}
+
+// release gives up all results.
+func (g *graph) release() {
+	for i, results := range g.results {
+		if len(results) == 0 {
+			continue
+		}
+		g.results[i] = nil
+		service := g.job.route.Stages[i].Service
+		go g.job.core.options.Stages.Release(service, g.zone, results)
+	}
+}
+
+// releaseInner gives up the results that only other stages needed.
+func (g *graph) releaseInner() {
+	for i, results := range g.results {
+		if g.depth[i] == 1 || len(results) == 0 {
+			continue
+		}
+		g.results[i] = nil
+		go g.job.core.options.Stages.Release(g.job.route.Stages[i].Service, g.zone, results)
+	}
+}
--- a/internal/scenario/fault.go
+++ b/internal/scenario/fault.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"github.com/wingvale/wingvale/internal/platform"
+	"github.com/wingvale/wingvale/internal/publisher"
 	"github.com/wingvale/wingvale/internal/standin"
 )
 
@@ -165,13 +165,13 @@
 	case args[0] == "up" || args[0] == "down":
 		c.SetDown(args[0] == "down")
 	case args[0] == "fresh":
-		c.SetStale(platform.SpaceConfiguration, reader, 0)
+		c.SetStale(publisher.SpaceConfiguration, reader, 0)
 	case args[0] == "stale" && len(args) > 1:
 		revision, err := strconv.ParseUint(args[1], 10, 64)
 		if err != nil {
 			return err
 		}
-		c.SetStale(platform.SpaceConfiguration, reader, revision)
+		c.SetStale(publisher.SpaceConfiguration, reader, revision)
 	default:
 		return errUsage
 	}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -17,7 +17,7 @@
 
 	"github.com/wingvale/wingvale/internal/harness"
 	"github.com/wingvale/wingvale/internal/memnet"
-	"github.com/wingvale/wingvale/internal/platform"
+	"github.com/wingvale/wingvale/internal/publisher"
 	"github.com/wingvale/wingvale/internal/sites"
 	"github.com/wingvale/wingvale/internal/standin"
 )
@@ -184,7 +184,7 @@
 	if len(args) != 2 {
 		return errUsage
 	}
-	w.site.Configuration.Publish(platform.SpaceConfiguration, args[0], args[1])
+	w.site.Configuration.Publish(publisher.SpaceConfiguration, args[0], args[1])
 	return nil
 }
 
@@ -192,7 +192,7 @@
 	if len(args) != 1 {
 		return errUsage
 	}
-	w.site.Configuration.Remove(platform.SpaceConfiguration, args[0])
+	w.site.Configuration.Remove(publisher.SpaceConfiguration, args[0])
 	return nil
 }
 
--- /dev/null
+++ b/internal/stagepool/group.go
@@ -0,0 +1,307 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package stagepool
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wingvale/wingvale/internal/owner"
+	"github.com/wingvale/wingvale/internal/stagepool/stagepb"
+)
+
+// Peer is another host as far as this package needs it.
+type Peer struct {
+	// Address names the host; Control is where it serves its peers.
+	Address netip.AddrPort
+	Control netip.AddrPort
+}
+
+// Options are a Group's dependencies; all are needed.
+type Options struct {
+	// Self is this host.
+	Self netip.AddrPort
+	// Live returns the hosts that work, this one included unless it leaves.
+	Live   func() []Peer
+	Driver Driver
+	HTTP   *http.Client
+	Log    logrus.FieldLogger
+	Scope  tally.Scope
+}
+
+const (
+	// shardSize is the most servers that one host owns together. Up to it, one
+	// owner for all has the fullest calls.
+	shardSize = 8
+	// aliveAfter is when a host that does not answer is asked whether it works,
+	// and aliveEvery how often it is asked again: about one call.
+	aliveAfter = 200 * time.Millisecond
+	aliveEvery = 300 * time.Millisecond
+	aliveFor   = 150 * time.Millisecond
+	// avoidFor is how long a host that did not answer is passed over.
+	avoidFor = 2 * time.Second
+	// ownersTried bounds how many hosts are asked before this one acts itself.
+	ownersTried = 2
+)
+
+var errSilent = errors.New("stagepool: the owner does not answer")
+
+// Group has the pools of all services and finds their owners. It is safe for
+// concurrent use.
+type Group struct {
+	options Options
+	ctx     context.Context
+
+	mu sync.Mutex
+	// pools has those of this host, by shard.
+	pools map[string]*Pool
+	specs map[string]Spec
+	// servers has the servers of each service.
+	servers map[string][]Server
+	// avoided is until when hosts are passed over.
+	avoided map[netip.AddrPort]time.Time
+}
+
+// New returns a group whose calls end with ctx.
+func New(ctx context.Context, options Options) *Group {
+	return &Group{
+		options: options,
+		ctx:     ctx,
+		pools:   make(map[string]*Pool),
+		specs:   make(map[string]Spec),
+		servers: make(map[string][]Server),
+		avoided: make(map[netip.AddrPort]time.Time),
+	}
+}
+
+// Configure replaces the services and their servers.
+func (g *Group) Configure(specs map[string]Spec, servers map[string][]Server) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.specs = specs
+	g.servers = servers
+	for key, pool := range g.pools {
+		service, zone := splitShard(key)
+		spec, ok := specs[service]
+		if !ok {
+			spec = pool.scheduler.spec
+		}
+		pool.configure(spec, inZone(servers[service], zone))
+	}
+}
+
+// shard names the servers of a service that one host owns together: all of
+// them, or those of one zone where there are many.
+func (g *Group) shard(service, zone string) string {
+	servers := g.servers[service]
+	if len(servers) <= shardSize {
+		return service
+	}
+	usable := inZone(servers, zone)
+	if len(usable) == 0 {
+		zone = servers[0].Zone
+	}
+	return service + "/" + zone
+}
+
+func splitShard(key string) (service, zone string) {
+	for i := len(key) - 1; i >= 0; i-- {
+		if key[i] == '/' {
+			return key[:i], key[i+1:]
+		}
+	}
+	return key, ""
+}
+
+func inZone(servers []Server, zone string) []Server {
+	if zone == "" {
+		return servers
+	}
+	var in []Server
+	for _, s := range servers {
+		if s.Zone == zone {
+			in = append(in, s)
+		}
+	}
+	return in
+}
+
+// pool returns this host's pool of a shard, or nil for an unknown service.
+func (g *Group) pool(shard string) *Pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.pools[shard]; p != nil {
+		return p
+	}
+	service, zone := splitShard(shard)
+	spec, ok := g.specs[service]
+	if !ok {
+		return nil
+	}
+	p := newPool(g.ctx, spec, g.options.Driver, g.options.Log, g.options.Scope)
+	p.configure(spec, inZone(g.servers[service], zone))
+	g.pools[shard] = p
+	return p
+}
+
+// owners returns the hosts to ask for a shard, the best first.
+func (g *Group) owners(shard string) []Peer {
+	now := time.Now()
+	live := g.options.Live()
+	byAddress := make(map[netip.AddrPort]Peer, len(live))
+	addresses := make([]netip.AddrPort, 0, len(live))
+	g.mu.Lock()
+	for _, p := range live {
+		if now.Before(g.avoided[p.Address]) {
+			continue
+		}
+		byAddress[p.Address] = p
+		addresses = append(addresses, p.Address)
+	}
+	g.mu.Unlock()
+	var peers []Peer
+	for _, a := range owner.Top(addresses, shard, ownersTried) {
+		peers = append(peers, byAddress[a])
+	}
+	return peers
+}
+
+func (g *Group) avoid(address netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.avoided[address] = time.Now().Add(avoidFor)
+}
+
+// Answer is what Run returns.
+type Answer struct {
+	Results []Result
+	Failure Failure
+	// Wait is how long new work waits at the pool.
+	Wait time.Duration
+	// Owner is the host that made the calls.
+	Owner netip.AddrPort
+}
+
+// Run makes the pieces of w, at the owner of its pool or the next host that
+// answers, and in the end by this host itself.
+func (g *Group) Run(ctx context.Context, w Work) Answer {
+	g.mu.Lock()
+	shard := g.shard(w.Service, w.Zone)
+	g.mu.Unlock()
+	for _, p := range g.owners(shard) {
+		if p.Address == g.options.Self {
+			break
+		}
+		answer, err := g.ask(ctx, p, w)
+		if err == nil {
+			return answer
+		}
+		if ctx.Err() != nil {
+			return Answer{Failure: FailureLate}
+		}
+		g.avoid(p.Address)
+		g.options.Scope.Counter("owner_failed").Inc(1)
+		g.options.Log.WithError(err).WithFields(logrus.Fields{"peer": p.Address, "pool": shard, "request": w.Request}).
+			Warn("the owner of a stage pool failed; asking the next")
+	}
+	return g.runHere(ctx, shard, w)
+}
+
+func (g *Group) runHere(ctx context.Context, shard string, w Work) Answer {
+	pool := g.pool(shard)
+	if pool == nil {
+		return Answer{Failure: FailureFailed}
+	}
+	results, failure := pool.run(ctx, w)
+	return Answer{Results: results, Failure: failure, Wait: pool.wait(), Owner: g.options.Self}
+}
+
+// ask hands w to another host, and gives up on it when it stands still.
+func (g *Group) ask(ctx context.Context, p Peer, w Work) (Answer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	client := stagepb.NewStagesProtobufClient("http://"+p.Control.String(), g.options.HTTP)
+	watch := time.AfterFunc(aliveAfter, func() { g.watch(ctx, client, cancel) })
+	defer watch.Stop()
+	reply, err := client.Run(ctx, requestMessage(time.Now(), w))
+	if err != nil {
+		return Answer{}, err
+	}
+	results, err := resultsOf(reply.GetResults())
+	if err != nil {
+		return Answer{}, err
+	}
+	if reply.GetFailure() == "" && len(results) != len(w.Pieces) {
+		return Answer{}, errors.New("stagepool: the owner answered with too few results")
+	}
+	return Answer{
+		Results: results,
+		Failure: Failure(reply.GetFailure()),
+		Wait:    time.Duration(reply.GetWaitMs()) * time.Millisecond,
+		Owner:   p.Address,
+	}, nil
+}
+
+// watch cancels a question whose host stands still.
+func (g *Group) watch(ctx context.Context, client stagepb.Stages, cancel context.CancelCauseFunc) {
+	for ctx.Err() == nil {
+		alive, stop := context.WithTimeout(ctx, aliveFor)
+		_, err := client.Alive(alive, &stagepb.AliveRequest{})
+		stop()
+		if err != nil && ctx.Err() == nil {
+			cancel(errSilent)
+			return
+		}
+		timer := time.NewTimer(aliveEvery)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// Release gives up results of a service.
+func (g *Group) Release(service, zone string, results []Result) {
+	if len(results) == 0 {
+		return
+	}
+	g.mu.Lock()
+	shard := g.shard(service, zone)
+	g.mu.Unlock()
+	for _, p := range g.owners(shard) {
+		if p.Address == g.options.Self {
+			break
+		}
+		ctx, cancel := context.WithTimeout(g.ctx, freeFor)
+		client := stagepb.NewStagesProtobufClient("http://"+p.Control.String(), g.options.HTTP)
+		_, err := client.Release(ctx, &stagepb.ReleaseRequest{Service: shard, Results: resultMessages(results)})
+		cancel()
+		if err == nil {
+			return
+		}
+		g.options.Log.WithError(err).WithField("peer", p.Address).Debug("the owner did not take results back")
+	}
+	if pool := g.pool(shard); pool != nil {
+		pool.release(results)
+	}
+}
+
+// State returns what the dump shows of this host's pools.
+func (g *Group) State() map[string]State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	states := make(map[string]State, len(g.pools))
+	for shard, p := range g.pools {
+		states[shard] = p.state()
+	}
+	return states
+}
--- /dev/null
+++ b/internal/stagepool/pool.go
@@ -0,0 +1,230 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package stagepool
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wingvale/wingvale/verdict"
+)
+
+// Driver speaks to stage servers.
+type Driver interface {
+	// RunBatch sends one call and returns an outcome for each item. Its error
+	// bears a verdict; ReasonRefused says that the server was full.
+	RunBatch(ctx context.Context, server Server, items []Item) ([]Outcome, error)
+	// Free gives up results of one server.
+	Free(ctx context.Context, server Server, handles []string) error
+}
+
+const (
+	// callMost bounds one call, whatever its server says: no stage is of use
+	// after that.
+	callMost = 5 * time.Second
+	// freeDelay gathers results to give up in one call; freeFor bounds it.
+	freeDelay = 15 * time.Millisecond
+	freeFor   = time.Second
+)
+
+// Pool owns the servers of one service. It is safe for concurrent use.
+type Pool struct {
+	driver Driver
+	log    logrus.FieldLogger
+	scope  tally.Scope
+	ctx    context.Context
+
+	mu        sync.Mutex
+	scheduler *scheduler
+	// timed says that a later look is under way.
+	timed bool
+	// freeing has the results to give up next, by server.
+	freeing map[netip.AddrPort][]string
+	calls   sync.WaitGroup
+}
+
+// newPool returns a pool whose calls end with ctx.
+func newPool(ctx context.Context, spec Spec, driver Driver, log logrus.FieldLogger, scope tally.Scope) *Pool {
+	return &Pool{
+		driver:    driver,
+		log:       log.WithField("pool", spec.Service),
+		scope:     scope,
+		ctx:       ctx,
+		scheduler: newScheduler(spec),
+		freeing:   make(map[netip.AddrPort][]string),
+	}
+}
+
+func (p *Pool) configure(spec Spec, servers []Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.scheduler.spec = spec
+	p.scheduler.setServers(servers)
+	p.kick()
+}
+
+// wait returns how long new work waits, roughly.
+func (p *Pool) wait() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.scheduler.wait(time.Now())
+}
+
+// run makes the pieces of w and returns a result for each, or why there is
+// none.
+func (p *Pool) run(ctx context.Context, w Work) ([]Result, Failure) {
+	p.mu.Lock()
+	t := p.scheduler.add(time.Now(), w)
+	p.kick()
+	p.mu.Unlock()
+	late := time.NewTimer(time.Until(w.Deadline))
+	defer late.Stop()
+	select {
+	case <-t.done:
+	case <-ctx.Done():
+	case <-late.C:
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t.finish(FailureLate)
+	if t.failure != "" {
+		p.free(t.takeResults())
+		return nil, t.failure
+	}
+	return t.results, ""
+}
+
+// kick sends what can be sent. The mutex must be held.
+func (p *Pool) kick() {
+	now := time.Now()
+	again := p.scheduler.overdue(now)
+	for {
+		b := p.scheduler.next(now)
+		if b == nil {
+			break
+		}
+		again = true
+		p.calls.Go(func() { p.call(b) })
+	}
+	if (again || len(p.scheduler.waiting) > 0) && !p.timed && p.ctx.Err() == nil {
+		p.timed = true
+		time.AfterFunc(recheck, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.timed = false
+			p.kick()
+		})
+	}
+}
+
+func (p *Pool) call(b *batch) {
+	items := make([]Item, 0, len(b.items))
+	for _, s := range b.items {
+		t := s.task
+		items = append(items, Item{
+			Request: t.Request,
+			Stage:   t.Stage,
+			Piece:   t.Pieces[s.position],
+			Key:     t.Key,
+			Inputs:  t.Inputs,
+			Left:    t.Deadline.Sub(b.began),
+		})
+	}
+	p.scope.Counter("calls").Inc(1)
+	p.scope.Counter("pieces").Inc(int64(len(items)))
+	ctx, cancel := context.WithTimeout(p.ctx, callMost)
+	defer cancel()
+	outcomes, err := p.driver.RunBatch(ctx, b.server.Server, items)
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil {
+		p.free(p.scheduler.finished(now, b, outcomes))
+		p.kick()
+		return
+	}
+	full := verdict.As(err).Reason == verdict.ReasonRefused
+	if !full {
+		p.log.WithError(err).WithFields(logrus.Fields{
+			"server": b.server.Address, "instance": b.server.Instance, "pieces": len(items), "took": now.Sub(b.began),
+		}).Warn("stage call failed; its pieces go elsewhere")
+	}
+	p.scope.Counter("calls_failed").Inc(1)
+	p.scheduler.refused(now, b, full)
+	p.kick()
+}
+
+// release gives up results, whoever made them.
+func (p *Pool) release(results []Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.free(results)
+}
+
+// free gathers results to give up. The mutex must be held.
+func (p *Pool) free(results []Result) {
+	for _, r := range results {
+		list, waits := p.freeing[r.Server]
+		p.freeing[r.Server] = append(list, r.Handle)
+		if !waits && p.ctx.Err() == nil {
+			time.AfterFunc(freeDelay, func() { p.flush(r.Server) })
+		}
+	}
+}
+
+func (p *Pool) flush(address netip.AddrPort) {
+	p.mu.Lock()
+	handles := p.freeing[address]
+	delete(p.freeing, address)
+	state := p.scheduler.servers[address]
+	p.mu.Unlock()
+	if state == nil || len(handles) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.ctx, freeFor)
+	defer cancel()
+	if err := p.driver.Free(ctx, state.Server, handles); err != nil {
+		p.log.WithError(err).WithField("server", address).Info("results could not be given up; they expire")
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.scheduler.released(address, handles)
+	p.kick()
+}
+
+// State is what the dump shows of a pool.
+type State struct {
+	Waiting int           `json:"waiting"`
+	Servers []ServerState `json:"servers"`
+}
+
+// ServerState is what the dump shows of a stage server.
+type ServerState struct {
+	Address  netip.AddrPort `json:"address"`
+	Instance string         `json:"instance"`
+	Running  int            `json:"running"`
+	Used     int64          `json:"used_bytes"`
+	Factor   float64        `json:"factor"`
+	Failures int            `json:"failures"`
+}
+
+func (p *Pool) state() State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := State{Waiting: p.scheduler.pieces()}
+	for _, s := range p.scheduler.servers {
+		state.Servers = append(state.Servers, ServerState{
+			Address: s.Address, Instance: s.Instance, Running: len(s.running), Used: s.used, Factor: s.factor, Failures: s.failures,
+		})
+	}
+	slices.SortFunc(state.Servers, func(a, b ServerState) int { return a.Address.Compare(b.Address) })
+	return state
+}
--- /dev/null
+++ b/internal/stagepool/scheduler.go
@@ -0,0 +1,432 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package stagepool
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// largeResult is the size from which a result is made in the zone where it
+	// is used: the platform's price of one gigabyte that crosses zones is some
+	// ten requests' worth.
+	largeResult = 256 << 10
+	// zonePatience is how long a piece with a large result waits for a server
+	// of its zone, about half a call.
+	zonePatience = 100 * time.Millisecond
+	// slowFactor is how much slower than the quickest a server must be to get
+	// work only when no other is left.
+	slowFactor = 2.5
+	// factorGain is the weight of one call in a server's factor.
+	factorGain = 0.4
+	// ejectFirst and ejectMost bound how long a failing server is left alone.
+	ejectFirst = 200 * time.Millisecond
+	ejectMost  = 3 * time.Second
+	// fullPause is how long a server that was full is left alone: some host
+	// that also holds itself for the owner uses it.
+	fullPause = 40 * time.Millisecond
+	// triesMost bounds how often one piece is sent.
+	triesMost = 4
+	// overdueFactor times its expected time is how long a call may take before
+	// its pieces are sent to another server as well.
+	overdueFactor = 2.0
+	overdueSlack  = 120 * time.Millisecond
+	// recheck is how soon servers whose calls are overdue are looked at again.
+	recheck = 50 * time.Millisecond
+)
+
+// task is one Work under way.
+type task struct {
+	Work
+	arrived time.Time
+	results []Result
+	// pending has the positions of pieces that wait to be sent.
+	pending []int
+	// tries counts the sends of each piece.
+	tries []int
+	// missing is how many pieces have no result.
+	missing int
+	failure Failure
+	ended   bool
+	done    chan struct{}
+}
+
+func (t *task) finish(f Failure) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	t.failure = f
+	t.pending = nil
+	close(t.done)
+}
+
+// sent is one piece of a call.
+type sent struct {
+	task     *task
+	position int
+}
+
+// batch is one call to one server.
+type batch struct {
+	server   *serverState
+	items    []sent
+	began    time.Time
+	expected time.Duration
+	bytes    int64
+	// doubled says that its pieces were sent to another server as well.
+	doubled bool
+}
+
+// serverState is what the owner knows of a server.
+type serverState struct {
+	Server
+	running []*batch
+	// used is the room that results and running calls take.
+	used int64
+	held map[string]heldResult
+	// factor is how long calls take over what was expected.
+	factor   float64
+	failures int
+	until    time.Time
+	gone     bool
+}
+
+type heldResult struct {
+	bytes   int64
+	expires time.Time
+}
+
+// scheduler decides what the next call of a pool has and where it goes. It is
+// not safe for concurrent use.
+type scheduler struct {
+	spec    Spec
+	servers map[netip.AddrPort]*serverState
+	// waiting has the tasks with pending pieces.
+	waiting []*task
+}
+
+func newScheduler(spec Spec) *scheduler {
+	return &scheduler{spec: spec, servers: make(map[netip.AddrPort]*serverState)}
+}
+
+// setServers replaces the servers, and keeps what is known of those that stay.
+func (s *scheduler) setServers(servers []Server) {
+	listed := make(map[netip.AddrPort]bool, len(servers))
+	for _, server := range servers {
+		listed[server.Address] = true
+		old := s.servers[server.Address]
+		if old != nil && old.Instance == server.Instance {
+			old.Server = server
+			continue
+		}
+		s.servers[server.Address] = &serverState{Server: server, factor: 1, held: make(map[string]heldResult)}
+	}
+	for address, state := range s.servers {
+		if !listed[address] {
+			state.gone = true
+			delete(s.servers, address)
+		}
+	}
+}
+
+func (s *scheduler) add(now time.Time, w Work) *task {
+	t := &task{
+		Work:    w,
+		arrived: now,
+		results: make([]Result, len(w.Pieces)),
+		tries:   make([]int, len(w.Pieces)),
+		missing: len(w.Pieces),
+		done:    make(chan struct{}),
+	}
+	for i := range w.Pieces {
+		t.pending = append(t.pending, i)
+	}
+	s.waiting = append(s.waiting, t)
+	return t
+}
+
+// pieces is how many pieces wait.
+func (s *scheduler) pieces() int {
+	total := 0
+	for _, t := range s.waiting {
+		total += len(t.pending)
+	}
+	return total
+}
+
+// expected is how long a call with so many pieces takes at a server.
+func (s *scheduler) expected(state *serverState, pieces int) time.Duration {
+	even := s.spec.CallTime + time.Duration(pieces)*s.spec.PieceTime
+	return time.Duration(float64(even) * state.factor)
+}
+
+// wait is how long new work waits for the start of its call, roughly.
+func (s *scheduler) wait(now time.Time) time.Duration {
+	usable := s.usable(now)
+	if len(usable) == 0 {
+		return s.spec.CallTime
+	}
+	calls := float64(s.pieces()) / float64(s.spec.Size)
+	rounds := calls / float64(len(usable)*s.spec.Slots)
+	busy := 0
+	for _, state := range usable {
+		busy += len(state.running)
+	}
+	if busy >= len(usable)*s.spec.Slots {
+		rounds += 0.5 / float64(len(usable))
+	}
+	return time.Duration(rounds * float64(s.spec.CallTime+time.Duration(s.spec.Size)*s.spec.PieceTime))
+}
+
+// usable returns the servers that may get work, the quickest first. A slow one
+// is left out while there are others.
+func (s *scheduler) usable(now time.Time) []*serverState {
+	var states []*serverState
+	for _, state := range s.servers {
+		if !state.Leaving && !now.Before(state.until) {
+			states = append(states, state)
+		}
+	}
+	slices.SortFunc(states, func(a, b *serverState) int {
+		if c := cmp.Compare(a.factor, b.factor); c != 0 {
+			return c
+		}
+		return a.Address.Compare(b.Address)
+	})
+	return states
+}
+
+// next returns the next call, or nil where nothing can be sent now.
+func (s *scheduler) next(now time.Time) *batch {
+	s.expire(now)
+	if len(s.waiting) == 0 {
+		return nil
+	}
+	usable := s.usable(now)
+	var free []*serverState
+	for _, state := range usable {
+		if len(state.running) < s.spec.Slots && state.factor <= usable[0].factor*slowFactor {
+			free = append(free, state)
+		}
+	}
+	if len(free) == 0 {
+		return nil
+	}
+	s.order(now)
+	zones := make(map[string]bool)
+	for _, state := range usable {
+		zones[state.Zone] = true
+	}
+	most := min((s.pieces()+len(free)-1)/len(free), s.spec.Size)
+	for _, state := range free {
+		if b := s.fill(now, state, max(most, 1), zones); b != nil {
+			return b
+		}
+	}
+	return nil
+}
+
+// order puts first what can still keep its objective, and there what must end
+// first.
+func (s *scheduler) order(now time.Time) {
+	soon := now.Add(s.spec.CallTime)
+	slices.SortStableFunc(s.waiting, func(a, b *task) int {
+		lateA, lateB := soon.After(a.Latest), soon.After(b.Latest)
+		if lateA != lateB {
+			if lateA {
+				return 1
+			}
+			return -1
+		}
+		return a.Latest.Compare(b.Latest)
+	})
+}
+
+func (s *scheduler) fill(now time.Time, state *serverState, most int, zones map[string]bool) *batch {
+	b := &batch{server: state, began: now}
+	room := s.spec.Room - state.used
+	for _, t := range s.waiting {
+		if !s.fits(now, t, state, zones) {
+			continue
+		}
+		for len(t.pending) > 0 && len(b.items) < most && (b.bytes+t.ResultBytes <= room || s.spec.Room == 0) {
+			b.items = append(b.items, sent{task: t, position: t.pending[0]})
+			b.bytes += t.ResultBytes
+			t.tries[t.pending[0]]++
+			t.pending = t.pending[1:]
+		}
+		if len(b.items) == most {
+			break
+		}
+	}
+	if len(b.items) == 0 {
+		return nil
+	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(t *task) bool { return len(t.pending) == 0 })
+	b.expected = s.expected(state, len(b.items))
+	state.used += b.bytes
+	state.running = append(state.running, b)
+	return b
+}
+
+// fits reports whether a task may run at a server as far as zones go.
+func (s *scheduler) fits(now time.Time, t *task, state *serverState, zones map[string]bool) bool {
+	if t.ResultBytes < largeResult || t.Zone == "" || t.Zone == state.Zone || !zones[t.Zone] {
+		return true
+	}
+	return now.Sub(t.arrived) > zonePatience
+}
+
+// expire ends the tasks that are of no use any more and forgets results that
+// their servers have dropped.
+func (s *scheduler) expire(now time.Time) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(t *task) bool {
+		if t.ended {
+			return true
+		}
+		if now.Add(s.spec.CallTime).After(t.Deadline) {
+			t.finish(FailureLate)
+			return true
+		}
+		return false
+	})
+	for _, state := range s.servers {
+		for handle, h := range state.held {
+			if now.After(h.expires) {
+				state.used -= h.bytes
+				delete(state.held, handle)
+			}
+		}
+	}
+}
+
+// overdue sends the pieces of calls that take far too long to other servers as
+// well, and reports whether there are calls to look at again.
+func (s *scheduler) overdue(now time.Time) bool {
+	again := false
+	for _, state := range s.servers {
+		for _, b := range state.running {
+			if b.doubled {
+				continue
+			}
+			limit := time.Duration(overdueFactor*float64(b.expected)) + overdueSlack
+			if now.Sub(b.began) < limit {
+				again = true
+				continue
+			}
+			b.doubled = true
+			state.factor = max(state.factor, now.Sub(b.began).Seconds()/b.expected.Seconds())
+			s.resend(b.items)
+		}
+	}
+	return again
+}
+
+// resend lets pieces wait again.
+func (s *scheduler) resend(items []sent) {
+	for _, item := range items {
+		t := item.task
+		if t.ended || t.results[item.position].Handle != "" || slices.Contains(t.pending, item.position) {
+			continue
+		}
+		if t.tries[item.position] >= triesMost {
+			t.finish(FailureFailed)
+			continue
+		}
+		if len(t.pending) == 0 && !slices.Contains(s.waiting, t) {
+			s.waiting = append(s.waiting, t)
+		}
+		t.pending = append(t.pending, item.position)
+	}
+}
+
+// refused notes that a call was not taken: the server was full, or could not be
+// reached.
+func (s *scheduler) refused(now time.Time, b *batch, full bool) {
+	s.remove(b)
+	b.server.used -= b.bytes
+	if full {
+		b.server.until = now.Add(fullPause)
+	} else {
+		b.server.failures++
+		pause := ejectFirst << min(b.server.failures-1, 10)
+		b.server.until = now.Add(min(pause, ejectMost))
+	}
+	s.resend(b.items)
+}
+
+// finished takes the outcomes of a call, one for each item, and returns the
+// results that nobody wants.
+func (s *scheduler) finished(now time.Time, b *batch, outcomes []Outcome) []Result {
+	s.remove(b)
+	state := b.server
+	state.failures = 0
+	state.used -= b.bytes
+	even := (s.spec.CallTime + time.Duration(len(b.items))*s.spec.PieceTime).Seconds()
+	state.factor += factorGain * (now.Sub(b.began).Seconds()/even - state.factor)
+	var unwanted []Result
+	var again []sent
+	for i, item := range b.items {
+		t := item.task
+		switch o := outcomes[i]; {
+		case o.Failure == FailureRoom || o.Failure == FailureFailed:
+			again = append(again, item)
+		case o.Failure != "":
+			t.finish(o.Failure)
+		default:
+			r := Result{Handle: o.Handle, Server: state.Address}
+			state.used += t.ResultBytes
+			state.held[o.Handle] = heldResult{bytes: t.ResultBytes, expires: now.Add(s.spec.Hold)}
+			if t.ended || t.results[item.position].Handle != "" {
+				unwanted = append(unwanted, r)
+				continue
+			}
+			t.results[item.position] = r
+			if t.missing--; t.missing == 0 {
+				t.finish("")
+			}
+		}
+	}
+	s.resend(again)
+	for _, item := range b.items {
+		if t := item.task; t.ended && t.failure != "" {
+			unwanted = append(unwanted, t.takeResults()...)
+		}
+	}
+	return unwanted
+}
+
+// takeResults returns the results of a failed task once.
+func (t *task) takeResults() []Result {
+	var results []Result
+	for i, r := range t.results {
+		if r.Handle != "" {
+			results = append(results, r)
+			t.results[i] = Result{}
+		}
+	}
+	return results
+}
+
+func (s *scheduler) remove(b *batch) {
+	b.server.running = slices.DeleteFunc(b.server.running, func(other *batch) bool { return other == b })
+}
+
+// released notes that a server has given up results.
+func (s *scheduler) released(address netip.AddrPort, handles []string) {
+	state := s.servers[address]
+	if state == nil {
+		return
+	}
+	for _, handle := range handles {
+		if h, ok := state.held[handle]; ok {
+			state.used -= h.bytes
+			delete(state.held, handle)
+		}
+	}
+}
--- /dev/null
+++ b/internal/stagepool/service.go
@@ -0,0 +1,123 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package stagepool
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/wingvale/wingvale/internal/stagepool/stagepb"
+)
+
+// piecesMost bounds the pieces of one request's stage in one message.
+const piecesMost = 4096
+
+// Handler returns what serves the other hosts, and the path it serves under.
+func (g *Group) Handler() (string, http.Handler) {
+	server := stagepb.NewStagesServer(&service{g: g})
+	return server.PathPrefix(), server
+}
+
+type service struct{ g *Group }
+
+// Run makes pieces for another host. Whoever is asked acts, also where its own
+// view names another owner: passing on could go round.
+func (s *service) Run(ctx context.Context, in *stagepb.RunRequest) (*stagepb.RunReply, error) {
+	w := workOf(time.Now(), in)
+	if len(w.Pieces) == 0 || len(w.Pieces) > piecesMost {
+		return nil, twirp.InvalidArgumentError("pieces", "want 1 to 4096")
+	}
+	s.g.mu.Lock()
+	shard := s.g.shard(w.Service, w.Zone)
+	s.g.mu.Unlock()
+	a := s.g.runHere(ctx, shard, w)
+	return &stagepb.RunReply{Results: resultMessages(a.Results), Failure: string(a.Failure), WaitMs: a.Wait.Milliseconds()}, nil
+}
+
+// Alive answers.
+func (*service) Alive(context.Context, *stagepb.AliveRequest) (*stagepb.AliveReply, error) {
+	return &stagepb.AliveReply{}, nil
+}
+
+// Release takes results back.
+func (s *service) Release(_ context.Context, in *stagepb.ReleaseRequest) (*stagepb.ReleaseReply, error) {
+	results, err := resultsOf(in.GetResults())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("results", err.Error())
+	}
+	if pool := s.g.pool(in.GetService()); pool != nil {
+		pool.release(results)
+	}
+	return &stagepb.ReleaseReply{}, nil
+}
+
+func requestMessage(now time.Time, w Work) *stagepb.RunRequest {
+	m := &stagepb.RunRequest{
+		Service:     w.Service,
+		Request:     w.Request,
+		Stage:       int32(w.Stage),
+		Key:         w.Key,
+		Inputs:      w.Inputs,
+		Zone:        w.Zone,
+		Workspace:   w.Workspace,
+		Route:       w.Route,
+		LatestMs:    w.Latest.Sub(now).Milliseconds(),
+		DeadlineMs:  w.Deadline.Sub(now).Milliseconds(),
+		Priority:    int32(w.Priority),
+		ResultBytes: w.ResultBytes,
+	}
+	for _, p := range w.Pieces {
+		m.Pieces = append(m.Pieces, &stagepb.Piece{Index: int32(p)})
+	}
+	return m
+}
+
+func workOf(now time.Time, m *stagepb.RunRequest) Work {
+	w := Work{
+		Service:     m.GetService(),
+		Request:     m.GetRequest(),
+		Stage:       int(m.GetStage()),
+		Key:         m.GetKey(),
+		Inputs:      m.GetInputs(),
+		Zone:        m.GetZone(),
+		Workspace:   m.GetWorkspace(),
+		Route:       m.GetRoute(),
+		Latest:      now.Add(time.Duration(m.GetLatestMs()) * time.Millisecond),
+		Deadline:    now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
+		Priority:    int(m.GetPriority()),
+		ResultBytes: max(m.GetResultBytes(), 0),
+	}
+	for _, p := range m.GetPieces() {
+		w.Pieces = append(w.Pieces, int(p.GetIndex()))
+	}
+	return w
+}
+
+func resultMessages(results []Result) []*stagepb.Result {
+	messages := make([]*stagepb.Result, 0, len(results))
+	for _, r := range results {
+		server, err := r.Server.MarshalBinary()
+		if err != nil {
+			continue
+		}
+		messages = append(messages, &stagepb.Result{Handle: r.Handle, Server: server})
+	}
+	return messages
+}
+
+func resultsOf(messages []*stagepb.Result) ([]Result, error) {
+	results := make([]Result, 0, len(messages))
+	for _, m := range messages {
+		r := Result{Handle: m.GetHandle()}
+		if err := r.Server.UnmarshalBinary(m.GetServer()); err != nil {
+			return nil, fmt.Errorf("stagepool: result with server %x: %w", m.GetServer(), err)
+		}
+		results = append(results, r)
+	}
+	return results, nil
+}
--- a/internal/standin/configuration.go
+++ b/internal/standin/configuration.go
@@ -13,7 +13,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/wingvale/wingvale/internal/platform"
+	"github.com/wingvale/wingvale/internal/publisher"
 	"github.com/wingvale/wingvale/internal/wire"
 )
 
@@ -21,7 +21,7 @@
 // every change, so that it can answer as of any revision.
 type Configuration struct {
 	mu     sync.Mutex
-	spaces map[platform.Space]*history
+	spaces map[publisher.Space]*history
 	down   bool
 	// stale has the revision that a reader is answered as of; the zero
 	// address stands for all readers.
@@ -39,7 +39,7 @@
 }
 
 type staleKey struct {
-	space  platform.Space
+	space  publisher.Space
 	reader netip.Addr
 }
 
@@ -50,16 +50,16 @@
 }
 
 type change struct {
-	platform.Item
+	publisher.Item
 	at time.Time
 }
 
 // NewConfiguration returns a service without values.
 func NewConfiguration() *Configuration {
 	return &Configuration{
-		spaces: map[platform.Space]*history{
-			platform.SpaceConfiguration: {changed: make(chan struct{})},
-			platform.SpaceHosts:         {changed: make(chan struct{})},
+		spaces: map[publisher.Space]*history{
+			publisher.SpaceConfiguration: {changed: make(chan struct{})},
+			publisher.SpaceHosts:         {changed: make(chan struct{})},
 		},
 		stale: make(map[staleKey]uint64),
 		forks: make(map[forkKey]string),
@@ -75,16 +75,16 @@
 }
 
 // Publish sets key and returns its revision.
-func (c *Configuration) Publish(space platform.Space, key, value string) uint64 {
-	return c.add(space, platform.Item{Key: key, Value: value})
+func (c *Configuration) Publish(space publisher.Space, key, value string) uint64 {
+	return c.add(space, publisher.Item{Key: key, Value: value})
 }
 
 // Remove removes key and returns the revision of that.
-func (c *Configuration) Remove(space platform.Space, key string) uint64 {
-	return c.add(space, platform.Item{Key: key, Removed: true})
+func (c *Configuration) Remove(space publisher.Space, key string) uint64 {
+	return c.add(space, publisher.Item{Key: key, Removed: true})
 }
 
-func (c *Configuration) add(space platform.Space, i platform.Item) uint64 {
+func (c *Configuration) add(space publisher.Space, i publisher.Item) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := c.spaces[space]
@@ -104,7 +104,7 @@
 
 // SetStale makes the service answer as of a revision, to one reader or, with
 // the zero address, to all. Revision 0 ends that.
-func (c *Configuration) SetStale(space platform.Space, reader netip.Addr, revision uint64) {
+func (c *Configuration) SetStale(space publisher.Space, reader netip.Addr, revision uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if revision == 0 {
@@ -129,17 +129,17 @@
 }
 
 // Revision returns the latest revision of space.
-func (c *Configuration) Revision(space platform.Space) uint64 {
+func (c *Configuration) Revision(space publisher.Space) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return uint64(len(c.spaces[space].changes))
 }
 
 // visible returns the revision that a reader is answered as of.
-func (c *Configuration) visible(space platform.Space, reader netip.Addr) uint64 {
+func (c *Configuration) visible(space publisher.Space, reader netip.Addr) uint64 {
 	h := c.spaces[space]
 	revision := uint64(len(h.changes))
-	if space == platform.SpaceHosts && c.lag > 0 {
+	if space == publisher.SpaceHosts && c.lag > 0 {
 		for revision > 0 && time.Since(h.changes[revision-1].at) < c.lag {
 			revision--
 		}
@@ -153,11 +153,11 @@
 }
 
 // since returns the latest item of each key that changed after a revision.
-func (c *Configuration) since(space platform.Space, reader netip.Addr, after uint64) platform.Values {
+func (c *Configuration) since(space publisher.Space, reader netip.Addr, after uint64) publisher.Values {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	v := platform.Values{Revision: c.visible(space, reader), Values: []platform.Item{}}
-	latest := make(map[string]platform.Item)
+	v := publisher.Values{Revision: c.visible(space, reader), Values: []publisher.Item{}}
+	latest := make(map[string]publisher.Item)
 	for _, ch := range c.spaces[space].changes[:v.Revision] {
 		latest[ch.Key] = ch.Item
 	}
@@ -184,11 +184,11 @@
 	return r
 }
 
-func (c *Configuration) begin(w http.ResponseWriter, r *http.Request) (platform.Space, netip.Addr, bool) {
+func (c *Configuration) begin(w http.ResponseWriter, r *http.Request) (publisher.Space, netip.Addr, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.calls++
-	space := platform.Space(chi.URLParam(r, "space"))
+	space := publisher.Space(chi.URLParam(r, "space"))
 	if c.down {
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return space, netip.Addr{}, false
@@ -222,7 +222,7 @@
 
 // await waits for something to have changed. A reader that has seen more than
 // the service now shows is answered as if nothing had.
-func (c *Configuration) await(r *http.Request, space platform.Space, reader netip.Addr, after uint64, until time.Time) platform.Values {
+func (c *Configuration) await(r *http.Request, space publisher.Space, reader netip.Addr, after uint64, until time.Time) publisher.Values {
 	for {
 		c.mu.Lock()
 		changed, lagging := c.spaces[space].changed, c.lag > 0
