internal/relay, stagepool: keep a request's stages in one zone, free results at once

Ruled out: server speed, calls refused as full (0). Change: heavy stages run where their inputs lie, tasks are not split over calls, inner results are given up when their last consumer has ended, stages with large results run last where the objective allows, prompts go to the few engines that the first shared part names.

--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// confirmedFor is how long one confirmation serves all who ask. It is far
+	// confirmedFor is how long one confirmation serves all who ask. It is
 	// below the time in which a configuration must be in force everywhere.
-	confirmedFor = 300 * time.Millisecond
+	confirmedFor = 800 * time.Millisecond
 	// confirmRead and confirmPeers bound asking the publisher and peers.
 	confirmRead  = 300 * time.Millisecond
 	confirmPeers = 600 * time.Millisecond
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -98,7 +98,6 @@
 	began := time.Now()
 	err := g.run(ctx)
 	j.stagesFor += time.Since(began)
-	g.releaseInner()
 	return err
 }
 
--- a/internal/relay/servers.go
+++ b/internal/relay/servers.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -38,6 +39,10 @@
 	// warmMost how many are remembered for each.
 	warmFor  = 10 * time.Second
 	warmMost = 512
+	// rereadCost is the time that reading one shared token again is weighed as,
+	// beside the reading itself: the platform prices 10,000 of them like one
+	// lookup, and an engine reads them in 170 ms.
+	rereadCost = 40 * time.Microsecond
 	// candidates is how many engines by hash are weighed for one prompt.
 	candidates = 4
 )
@@ -186,18 +191,22 @@
 	return k.Server, true
 }
 
-// sharedKey names the shared parts of a prompt; 0 is none.
-func sharedKey(parts []Part) uint64 {
+// sharedKeys name the first shared part of a prompt and all its shared parts; 0
+// is none.
+func sharedKeys(parts []Part) (first, all uint64) {
 	if len(parts) < 2 {
-		return 0
+		return 0, 0
 	}
 	var d xxhash.Digest
 	d.Reset()
-	for _, p := range parts[:len(parts)-1] {
+	for i, p := range parts[:len(parts)-1] {
 		_, _ = d.WriteString(p.ID)
 		_, _ = d.WriteString("/")
+		if i == 0 {
+			first = d.Sum64()
+		}
 	}
-	return d.Sum64()
+	return first, d.Sum64()
 }
 
 func affinity(key uint64, instance string) uint64 {
@@ -207,38 +216,37 @@
 	return d.Sum64()
 }
 
-// chooseEngine returns the engine that should have the first token soonest:
-// the home of the prompt's shared parts by rendezvous hashing, unless reading
-// them again elsewhere costs less than waiting there.
+// chooseEngine returns the engine that should have the first token soonest. The
+// first shared part of the prompt names a few engines by rendezvous hashing, so
+// that it is read by few; among them all shared parts name the home. Another is
+// taken where reading the shared parts again costs less than the home's load.
 func (s *servers) chooseEngine(service string, r *Request, hosts int, except []string) (Server, bool) {
 	now := time.Now()
-	key := sharedKey(r.Parts)
+	first, key := sharedKeys(r.Parts)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	all := s.usable(service, now, except)
 	if key != 0 {
-		slices.SortFunc(all, func(a, b *server) int {
-			x, y := affinity(key, a.Instance), affinity(key, b.Instance)
-			if x > y {
-				return -1
-			}
-			return 1
-		})
+		rank(all, first)
+		all = all[:min(candidates, len(all))]
+		rank(all, key)
 	} else {
 		s.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		all = all[:min(candidates, len(all))]
 	}
 	var best *server
 	bestCost := math.Inf(1)
 	own, shared := r.tokens()-r.sharedTokens(), r.sharedTokens()
 	bestTokens := 0
-	for i, k := range all[:min(candidates, len(all))] {
+	for i, k := range all {
 		k.age(now)
-		tokens := own
+		tokens, again := own, 0
 		if i > 0 && now.Sub(k.warm[key]) > warmFor {
-			tokens += shared
+			again = shared
 		}
+		tokens += again
 		cost := (float64(tokens)/readRate/1000 + 0.01) * k.ratio / (1 - k.load(now, hosts))
-		cost = s.penalised(k, cost)
+		cost = s.penalised(k, cost) + float64(again)*rereadCost.Seconds()
 		if cost < bestCost {
 			best, bestCost, bestTokens = k, cost, tokens
 		}
@@ -250,6 +258,13 @@
 	return s.begin(best)
 }
 
+// rank orders servers by rendezvous hashing, the highest score first.
+func rank(list []*server, key uint64) {
+	slices.SortFunc(list, func(a, b *server) int {
+		return cmp.Compare(affinity(key, b.Instance), affinity(key, a.Instance))
+	})
+}
+
 func (k *server) remember(key uint64, now time.Time) {
 	if key == 0 {
 		return
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,8 +18,8 @@
 	// stageFactor times the time of an empty call is what a stage takes with
 	// its pieces and its wait, as measured on a calm day.
 	stageFactor = 1.5
-	// largeResult is the size from which a stage beside a longer chain is
-	// begun late, so that its results do not take up room while they wait.
+	// largeResult is the size from which a stage is begun when all others have
+	// ended, so that its results do not take up room while they wait.
 	largeResult = 256 << 10
 )
 
@@ -30,6 +31,8 @@
 	depth []int
 	// results has those of each stage that has ended.
 	results [][]stagepool.Result
+	// used has the stages whose results were given up before the end.
+	used []bool
 }
 
 // stageEnd is the outcome of one stage.
@@ -43,6 +46,7 @@
 	g := &graph{job: j, zone: zone}
 	g.depth = make([]int, len(j.route.Stages))
 	g.results = make([][]stagepool.Result, len(j.route.Stages))
+	g.used = make([]bool, len(j.route.Stages))
 	// Stages name earlier ones, so one pass from the end finds the depths.
 	for i := len(j.route.Stages) - 1; i >= 0; i-- {
 		if g.depth[i] == 0 {
@@ -130,6 +134,7 @@
 			failed = g.failure(ctx, end)
 			cancel()
 		}
+		g.releaseUsed(ended)
 	}
 }
 
@@ -150,19 +155,40 @@
 			return false
 		}
 	}
-	if stage.ResultBytes < largeResult {
+	if stage.ResultBytes < largeResult || g.pressed(i) {
 		return true
 	}
-	// Everything that is two steps or more before the results are used must
-	// have ended: what is left then takes about as long as this stage.
-	for other := range g.depth {
-		if g.depth[other] > g.depth[i]+1 && !ended[other] && g.job.pieces(other) > 0 {
+	for other := range ended {
+		if !ended[other] && g.job.pieces(other) > 0 && g.job.route.Stages[other].ResultBytes < largeResult {
 			return false
 		}
 	}
 	return true
 }
 
+// pressed reports whether the objective leaves no time to run a stage after all
+// others.
+func (g *graph) pressed(i int) bool {
+	j := g.job
+	need := j.stageTime(j.route.Stages[i].Service) + expectedRead(j.Request)
+	return time.Until(j.objective) < g.rest()+need
+}
+
+// rest is how long the stages that have not ended take, without large ones.
+func (g *graph) rest() time.Duration {
+	longest := make(map[int]time.Duration)
+	for i, stage := range g.job.route.Stages {
+		if g.job.pieces(i) > 0 && g.results[i] == nil && stage.ResultBytes < largeResult {
+			longest[g.depth[i]] = max(longest[g.depth[i]], g.job.stageTime(stage.Service))
+		}
+	}
+	var total time.Duration
+	for _, t := range longest {
+		total += t
+	}
+	return total
+}
+
 func (g *graph) work(i int) stagepool.Work {
 	j := g.job
 	stage := j.route.Stages[i]
@@ -177,7 +203,8 @@
 		Deadline:    j.deadline.Add(-after / 2),
 		Priority:    j.priority(),
 		ResultBytes: stage.ResultBytes,
-		Zone:        g.zone,
+		InputBytes:  g.inputBytes(i),
+		Zone:        g.zoneOf(i),
 	}
 	for p := range j.pieces(i) {
 		w.Pieces = append(w.Pieces, p)
@@ -193,6 +220,32 @@
 	return w
 }
 
+// inputBytes is the expected size of all inputs of one piece of a stage.
+func (g *graph) inputBytes(i int) int64 {
+	var total int64
+	for _, before := range g.job.route.Stages[i].After {
+		total += int64(len(g.results[before])) * g.job.route.Stages[before].ResultBytes
+	}
+	return total
+}
+
+// zoneOf is where a stage is best run: where its inputs lie, or where the
+// engine is that needs its results.
+func (g *graph) zoneOf(i int) string {
+	if g.depth[i] == 1 && g.job.route.Stages[i].ResultBytes >= largeResult {
+		return g.zone
+	}
+	var largest int64
+	zone := ""
+	for _, before := range g.job.route.Stages[i].After {
+		bytes := g.job.route.Stages[before].ResultBytes
+		if results := g.results[before]; len(results) > 0 && bytes > largest {
+			largest, zone = bytes, results[0].Zone
+		}
+	}
+	return zone
+}
+
 // priority is the request's rank: the workspace's before the route's.
 func (j *job) priority() int {
 	const ranks = 10
@@ -231,22 +284,31 @@
 // release gives up all results.
 func (g *graph) release() {
 	for i, results := range g.results {
-		if len(results) == 0 {
+		if len(results) == 0 || g.used[i] {
 			continue
 		}
 		g.results[i] = nil
-		service := g.job.route.Stages[i].Service
-		go g.job.core.options.Stages.Release(service, g.zone, results)
+		go g.job.core.options.Stages.Release(g.job.route.Stages[i].Service, results)
 	}
 }
 
-// releaseInner gives up the results that only other stages needed.
-func (g *graph) releaseInner() {
+// releaseUsed gives up the results that no stage needs any more. Those that the
+// request itself needs stay.
+func (g *graph) releaseUsed(ended []bool) {
 	for i, results := range g.results {
-		if g.depth[i] == 1 || len(results) == 0 {
-			continue
+		if g.depth[i] > 1 && len(results) > 0 && !g.used[i] && g.consumed(i, ended) {
+			g.used[i] = true
+			go g.job.core.options.Stages.Release(g.job.route.Stages[i].Service, results)
 		}
-		g.results[i] = nil
-		go g.job.core.options.Stages.Release(g.job.route.Stages[i].Service, g.zone, results)
 	}
 }
+
+// consumed reports whether all stages that need the results of one have ended.
+func (g *graph) consumed(i int, ended []bool) bool {
+	for other, stage := range g.job.route.Stages {
+		if slices.Contains(stage.After, i) && !ended[other] {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/stagepool/group.go
+++ b/internal/stagepool/group.go
@@ -269,14 +269,25 @@
 	}
 }
 
-// Release gives up results of a service.
-func (g *Group) Release(service, zone string, results []Result) {
-	if len(results) == 0 {
-		return
+// Release gives up results of a service, by the host that owns their servers.
+func (g *Group) Release(service string, results []Result) {
+	byZone := make(map[string][]Result)
+	for _, r := range results {
+		byZone[r.Zone] = append(byZone[r.Zone], r)
 	}
+	byShard := make(map[string][]Result)
 	g.mu.Lock()
-	shard := g.shard(service, zone)
+	for zone, part := range byZone {
+		shard := g.shard(service, zone)
+		byShard[shard] = append(byShard[shard], part...)
+	}
 	g.mu.Unlock()
+	for shard, part := range byShard {
+		g.releaseShard(shard, part)
+	}
+}
+
+func (g *Group) releaseShard(shard string, results []Result) {
 	for _, p := range g.owners(shard) {
 		if p.Address == g.options.Self {
 			break
--- a/internal/stagepool/scheduler.go
+++ b/internal/stagepool/scheduler.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// largeResult is the size from which a result is made in the zone where it
-	// is used: the platform's price of one gigabyte that crosses zones is some
+	// heavyBytes is the size of results or inputs from which work is done in
+	// its zone: the platform's price of one gigabyte that crosses zones is some
 	// ten requests' worth.
-	largeResult = 256 << 10
-	// zonePatience is how long a piece with a large result waits for a server
-	// of its zone, about half a call.
+	heavyBytes = 256 << 10
+	// zonePatience is how long heavy work waits for a server of its zone, about
+	// half a call.
 	zonePatience = 100 * time.Millisecond
 	// slowFactor is how much slower than the quickest a server must be to get
 	// work only when no other is left.
@@ -254,13 +254,8 @@
 		if !s.fits(now, t, state, zones) {
 			continue
 		}
-		for len(t.pending) > 0 && len(b.items) < most && (b.bytes+t.ResultBytes <= room || s.spec.Room == 0) {
-			b.items = append(b.items, sent{task: t, position: t.pending[0]})
-			b.bytes += t.ResultBytes
-			t.tries[t.pending[0]]++
-			t.pending = t.pending[1:]
-		}
-		if len(b.items) == most {
+		b.take(t, s.takes(t, b, most, room))
+		if len(b.items) >= most {
 			break
 		}
 	}
@@ -274,9 +269,36 @@
 	return b
 }
 
+// takes is how many pieces of a task go into a call. A task is split only where
+// it is larger than a call: its pieces then end together and in one zone.
+func (s *scheduler) takes(t *task, b *batch, most int, room int64) int {
+	count := min(len(t.pending), s.spec.Size-len(b.items))
+	if s.spec.Room > 0 && t.ResultBytes > 0 {
+		count = min(count, int(max(room-b.bytes, 0)/t.ResultBytes))
+	}
+	whole := min(len(t.pending), s.spec.Size)
+	if count < whole && (len(b.items) > 0 || int64(whole)*t.ResultBytes <= s.spec.Room) {
+		return 0
+	}
+	if len(b.items) > 0 && len(b.items)+count > most {
+		return 0
+	}
+	return count
+}
+
+func (b *batch) take(t *task, count int) {
+	for range count {
+		position := t.pending[0]
+		b.items = append(b.items, sent{task: t, position: position})
+		b.bytes += t.ResultBytes
+		t.tries[position]++
+		t.pending = t.pending[1:]
+	}
+}
+
 // fits reports whether a task may run at a server as far as zones go.
 func (s *scheduler) fits(now time.Time, t *task, state *serverState, zones map[string]bool) bool {
-	if t.ResultBytes < largeResult || t.Zone == "" || t.Zone == state.Zone || !zones[t.Zone] {
+	if !t.heavy() || t.Zone == "" || t.Zone == state.Zone || !zones[t.Zone] {
 		return true
 	}
 	return now.Sub(t.arrived) > zonePatience
@@ -379,7 +401,7 @@
 		case o.Failure != "":
 			t.finish(o.Failure)
 		default:
-			r := Result{Handle: o.Handle, Server: state.Address}
+			r := Result{Handle: o.Handle, Server: state.Address, Zone: state.Zone}
 			state.used += t.ResultBytes
 			state.held[o.Handle] = heldResult{bytes: t.ResultBytes, expires: now.Add(s.spec.Hold)}
 			if t.ended || t.results[item.position].Handle != "" {
--- a/internal/stagepool/service.go
+++ b/internal/stagepool/service.go
@@ -70,6 +70,7 @@
 		DeadlineMs:  w.Deadline.Sub(now).Milliseconds(),
 		Priority:    int32(w.Priority),
 		ResultBytes: w.ResultBytes,
+		InputBytes:  w.InputBytes,
 	}
 	for _, p := range w.Pieces {
 		m.Pieces = append(m.Pieces, &stagepb.Piece{Index: int32(p)})
@@ -91,6 +92,7 @@
 		Deadline:    now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
 		Priority:    int(m.GetPriority()),
 		ResultBytes: max(m.GetResultBytes(), 0),
+		InputBytes:  max(m.GetInputBytes(), 0),
 	}
 	for _, p := range m.GetPieces() {
 		w.Pieces = append(w.Pieces, int(p.GetIndex()))
@@ -105,7 +107,7 @@
 		if err != nil {
 			continue
 		}
-		messages = append(messages, &stagepb.Result{Handle: r.Handle, Server: server})
+		messages = append(messages, &stagepb.Result{Handle: r.Handle, Server: server, Zone: r.Zone})
 	}
 	return messages
 }
@@ -113,7 +115,7 @@
 func resultsOf(messages []*stagepb.Result) ([]Result, error) {
 	results := make([]Result, 0, len(messages))
 	for _, m := range messages {
-		r := Result{Handle: m.GetHandle()}
+		r := Result{Handle: m.GetHandle(), Zone: m.GetZone()}
 		if err := r.Server.UnmarshalBinary(m.GetServer()); err != nil {
 			return nil, fmt.Errorf("stagepool: result with server %x: %w", m.GetServer(), err)
 		}
--- a/internal/stagepool/work.go
+++ b/internal/stagepool/work.go
@@ -45,7 +45,8 @@
 	// stages before; only one of the two is set.
 	Key    string
 	Inputs []string
-	// Zone is where the results will be used; empty is anywhere.
+	// Zone is where the inputs lie or the results will be used; empty is
+	// anywhere.
 	Zone string
 	// Workspace and Route tell whose work it is and of what kind.
 	Workspace string
@@ -56,14 +57,23 @@
 	Deadline time.Time
 	// Priority is the route's rank, 0 the most urgent.
 	Priority int
-	// ResultBytes is the expected size of one result.
+	// ResultBytes is the expected size of one result, InputBytes that of all
+	// inputs of one piece.
 	ResultBytes int64
+	InputBytes  int64
+}
+
+// heavy reports whether it matters in which zone the work is done.
+func (w *Work) heavy() bool {
+	return max(w.ResultBytes, w.InputBytes) >= heavyBytes
 }
 
 // Result is one piece's result, which lies at the server that made it.
 type Result struct {
 	Handle string
 	Server netip.AddrPort
+	// Zone is the server's availability zone.
+	Zone string
 }
 
 // Failure says why a piece has no result.
