internal/stagepool: learn a server's speed only from calls that worked

A call whose pieces all failed for room ended in a millisecond and counted as very fast, the next call then as overdue, and its server as slow for good. Ruled out: lost answers (no failed call), a leak of room (used_bytes 0), reading of the logs (collapses with and without). Change: only calls that made all pieces tell a speed, slowness fades with a half-life of 3 s, a piece without room is no try and pauses its server 50 ms, gone inputs are made again, tasks of higher priority may go 200 ms earlier.

The test of the failed call fails on the code before.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -54,8 +54,17 @@
 		}
 		if g == nil {
 			g = newGraph(j, engine.Zone)
-			if err := j.prepare(ctx, g); err != nil {
+			err := j.prepare(ctx, g)
+			if err != nil {
 				j.core.servers.ended(engine.Instance, 0, false)
+			}
+			if errors.Is(err, errGone) && remakes < remakesMost {
+				remakes++
+				g.release()
+				g = nil
+				continue
+			}
+			if err != nil {
 				return s.fail(err)
 			}
 			if j.core.servers.leaving(engine.Instance) {
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -18,8 +18,8 @@
 	// stageFactor times the time of an empty call is what a stage takes with
 	// its pieces and its wait, as measured on a calm day.
 	stageFactor = 1.5
-	// largeResult is the size from which a stage is begun when all others have
-	// ended, so that its results do not take up room while they wait.
+	// largeResult is the size from which a stage beside a longer chain is
+	// begun late, so that its results do not take up room while they wait.
 	largeResult = 256 << 10
 )
 
@@ -155,40 +155,19 @@
 			return false
 		}
 	}
-	if stage.ResultBytes < largeResult || g.pressed(i) {
+	if stage.ResultBytes < largeResult {
 		return true
 	}
-	for other := range ended {
-		if !ended[other] && g.job.pieces(other) > 0 && g.job.route.Stages[other].ResultBytes < largeResult {
+	// Everything that is two steps or more before the results are used must
+	// have ended: what is left then takes about as long as this stage.
+	for other := range g.depth {
+		if g.depth[other] > g.depth[i] && !ended[other] && g.job.pieces(other) > 0 {
 			return false
 		}
 	}
 	return true
 }
 
-// pressed reports whether the objective leaves no time to run a stage after all
-// others.
-func (g *graph) pressed(i int) bool {
-	j := g.job
-	need := j.stageTime(j.route.Stages[i].Service) + expectedRead(j.Request)
-	return time.Until(j.objective) < g.rest()+need
-}
-
-// rest is how long the stages that have not ended take, without large ones.
-func (g *graph) rest() time.Duration {
-	longest := make(map[int]time.Duration)
-	for i, stage := range g.job.route.Stages {
-		if g.job.pieces(i) > 0 && g.results[i] == nil && stage.ResultBytes < largeResult {
-			longest[g.depth[i]] = max(longest[g.depth[i]], g.job.stageTime(stage.Service))
-		}
-	}
-	var total time.Duration
-	for _, t := range longest {
-		total += t
-	}
-	return total
-}
-
 func (g *graph) work(i int) stagepool.Work {
 	j := g.job
 	stage := j.route.Stages[i]
@@ -246,10 +225,12 @@
 	return zone
 }
 
+// workspaceRanks is how many ranks of routes one rank of workspaces outweighs.
+const workspaceRanks = 2
+
 // priority is the request's rank: the workspace's before the route's.
 func (j *job) priority() int {
-	const ranks = 10
-	return j.workspace.Priority*ranks + j.route.Priority
+	return j.workspace.Priority*workspaceRanks + j.route.Priority
 }
 
 // failure is what a failed stage means for the request.
@@ -259,6 +240,9 @@
 		return interrupted
 	}
 	service := j.route.Stages[end.stage].Service
+	if end.answer.Failure == stagepool.FailureGone {
+		return errGone
+	}
 	j.log.WithFields(logrus.Fields{
 		"stage": end.stage, "pool": service, "failure": end.answer.Failure, "owner": end.answer.Owner,
 		"wait_ms": end.answer.Wait.Milliseconds(), "left_ms": j.left().Milliseconds(),
--- /dev/null
+++ b/internal/stagepool/export_test.go
@@ -0,0 +1,69 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package stagepool
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Scheduler lets tests drive the pure part of a pool.
+type Scheduler struct{ s *scheduler }
+
+// Batch is one call that a Scheduler gave out.
+type Batch struct{ b *batch }
+
+// Task is one Work under way.
+type Task struct{ t *task }
+
+// NewScheduler returns a scheduler with servers.
+func NewScheduler(spec Spec, servers ...Server) *Scheduler {
+	s := newScheduler(spec)
+	s.setServers(servers)
+	return &Scheduler{s: s}
+}
+
+// SetServers replaces the servers.
+func (s *Scheduler) SetServers(servers ...Server) { s.s.setServers(servers) }
+
+// Add lets work wait.
+func (s *Scheduler) Add(now time.Time, w Work) Task { return Task{t: s.s.add(now, w)} }
+
+// Next returns the next call, if any.
+func (s *Scheduler) Next(now time.Time) (Batch, bool) {
+	b := s.s.next(now)
+	return Batch{b: b}, b != nil
+}
+
+// Finish ends a call.
+func (s *Scheduler) Finish(now time.Time, b Batch, outcomes ...Outcome) []Result {
+	return s.s.finished(now, b.b, outcomes)
+}
+
+// Refuse ends a call that was not taken.
+func (s *Scheduler) Refuse(now time.Time, b Batch, full bool) { s.s.refused(now, b.b, full) }
+
+// Overdue looks for calls that take far too long.
+func (s *Scheduler) Overdue(now time.Time) { s.s.overdue(now) }
+
+// Release gives results up.
+func (s *Scheduler) Release(server netip.AddrPort, handles ...string) { s.s.released(server, handles) }
+
+// Server returns where a call goes.
+func (b Batch) Server() Server { return b.b.server.Server }
+
+// Requests returns whose pieces a call has.
+func (b Batch) Requests() []string {
+	var names []string
+	for _, i := range b.b.items {
+		names = append(names, i.task.Request)
+	}
+	return names
+}
+
+// Done reports whether a task has ended, and with what failure.
+func (t Task) Done() (Failure, bool) { return t.t.failure, t.t.ended }
+
+// Results returns a task's results.
+func (t Task) Results() []Result { return t.t.results }
--- a/internal/stagepool/pool.go
+++ b/internal/stagepool/pool.go
@@ -32,6 +32,12 @@
 	// freeDelay gathers results to give up in one call; freeFor bounds it.
 	freeDelay = 15 * time.Millisecond
 	freeFor   = time.Second
+	// tellAfter is from which wait on the state of a pool is logged, at most
+	// each tellEvery.
+	tellAfter = 500 * time.Millisecond
+	tellEvery = time.Second
+	// slowCall times its even time is how long a call takes that is logged.
+	slowCall = 2
 )
 
 // Pool owns the servers of one service. It is safe for concurrent use.
@@ -48,6 +54,8 @@
 	// freeing has the results to give up next, by server.
 	freeing map[netip.AddrPort][]string
 	calls   sync.WaitGroup
+	// toldAt is when long waits were last logged.
+	toldAt time.Time
 }
 
 // newPool returns a pool whose calls end with ctx.
@@ -113,6 +121,7 @@
 		again = true
 		p.calls.Go(func() { p.call(b) })
 	}
+	p.tell(now)
 	if (again || len(p.scheduler.waiting) > 0) && !p.timed && p.ctx.Err() == nil {
 		p.timed = true
 		time.AfterFunc(recheck, func() {
@@ -124,6 +133,18 @@
 	}
 }
 
+// tell logs now and then that work waits long, and what its servers do. The
+// mutex must be held.
+func (p *Pool) tell(now time.Time) {
+	oldest := p.scheduler.oldest(now)
+	if oldest < tellAfter || now.Sub(p.toldAt) < tellEvery {
+		return
+	}
+	p.toldAt = now
+	p.log.WithFields(logrus.Fields{"oldest_ms": oldest.Milliseconds(), "pieces": p.scheduler.pieces(), "servers": p.stateLocked().Servers}).
+		Info("work waits long for stage servers")
+}
+
 func (p *Pool) call(b *batch) {
 	items := make([]Item, 0, len(b.items))
 	for _, s := range b.items {
@@ -145,6 +166,13 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if took := now.Sub(b.began); took > slowCall*p.scheduler.even(len(items)) {
+		p.log.WithError(err).WithFields(logrus.Fields{
+			"server": b.server.Address, "instance": b.server.Instance, "pieces": len(items), "took_ms": took.Milliseconds(),
+			"expected_ms": b.expected.Milliseconds(), "doubled": b.doubled, "outcome": outcomes[:min(1, len(outcomes))],
+			"request": items[0].Request, "stage": items[0].Stage, "inputs": len(items[0].Inputs),
+		}).Info("slow stage call")
+	}
 	if err == nil {
 		p.free(p.scheduler.finished(now, b, outcomes))
 		p.kick()
@@ -219,6 +247,10 @@
 func (p *Pool) state() State {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.stateLocked()
+}
+
+func (p *Pool) stateLocked() State {
 	state := State{Waiting: p.scheduler.pieces()}
 	for _, s := range p.scheduler.servers {
 		state.Servers = append(state.Servers, ServerState{
--- a/internal/stagepool/scheduler.go
+++ b/internal/stagepool/scheduler.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -31,6 +32,15 @@
 	fullPause = 40 * time.Millisecond
 	// triesMost bounds how often one piece is sent.
 	triesMost = 4
+	// priorityTime is how much later a task may be due to go before one of the
+	// next lower priority.
+	priorityTime = 200 * time.Millisecond
+	// factorFade is the half-life of a server's slowness, so that one that got
+	// well is tried again.
+	factorFade = 3 * time.Second
+	// roomPause is how long a server without room gets no work, unless results
+	// are given up there before.
+	roomPause = 50 * time.Millisecond
 	// overdueFactor times its expected time is how long a call may take before
 	// its pieces are sent to another server as well.
 	overdueFactor = 2.0
@@ -91,6 +101,7 @@
 	held map[string]heldResult
 	// factor is how long calls take over what was expected.
 	factor   float64
+	fadedAt  time.Time
 	failures int
 	until    time.Time
 	gone     bool
@@ -159,10 +170,23 @@
 	return total
 }
 
+// oldest is how long the first task has waited for the start of its pieces.
+func (s *scheduler) oldest(now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, t := range s.waiting {
+		oldest = max(oldest, now.Sub(t.arrived))
+	}
+	return oldest
+}
+
 // expected is how long a call with so many pieces takes at a server.
 func (s *scheduler) expected(state *serverState, pieces int) time.Duration {
-	even := s.spec.CallTime + time.Duration(pieces)*s.spec.PieceTime
-	return time.Duration(float64(even) * state.factor)
+	return time.Duration(float64(s.even(pieces)) * state.factor)
+}
+
+// even is how long a call with so many pieces takes at an undisturbed server.
+func (s *scheduler) even(pieces int) time.Duration {
+	return s.spec.CallTime + time.Duration(pieces)*s.spec.PieceTime
 }
 
 // wait is how long new work waits for the start of its call, roughly.
@@ -183,11 +207,20 @@
 	return time.Duration(rounds * float64(s.spec.CallTime+time.Duration(s.spec.Size)*s.spec.PieceTime))
 }
 
+// fade lets a server's slowness be forgotten.
+func (s *serverState) fade(now time.Time) {
+	if !s.fadedAt.IsZero() && len(s.running) == 0 {
+		s.factor = 1 + (s.factor-1)*math.Exp2(-now.Sub(s.fadedAt).Seconds()/factorFade.Seconds())
+	}
+	s.fadedAt = now
+}
+
 // usable returns the servers that may get work, the quickest first. A slow one
 // is left out while there are others.
 func (s *scheduler) usable(now time.Time) []*serverState {
 	var states []*serverState
 	for _, state := range s.servers {
+		state.fade(now)
 		if !state.Leaving && !now.Before(state.until) {
 			states = append(states, state)
 		}
@@ -243,10 +276,15 @@
 			}
 			return -1
 		}
-		return a.Latest.Compare(b.Latest)
+		return a.rank().Compare(b.rank())
 	})
 }
 
+// rank orders tasks: by when they must end, with some time for each priority.
+func (t *task) rank() time.Time {
+	return t.Latest.Add(time.Duration(t.Priority) * priorityTime)
+}
+
 func (s *scheduler) fill(now time.Time, state *serverState, most int, zones map[string]bool) *batch {
 	b := &batch{server: state, began: now}
 	room := s.spec.Room - state.used
@@ -342,7 +380,7 @@
 				continue
 			}
 			b.doubled = true
-			state.factor = max(state.factor, now.Sub(b.began).Seconds()/b.expected.Seconds())
+			state.factor = max(state.factor, now.Sub(b.began).Seconds()/s.even(len(b.items)).Seconds())
 			s.resend(b.items)
 		}
 	}
@@ -389,14 +427,19 @@
 	state := b.server
 	state.failures = 0
 	state.used -= b.bytes
-	even := (s.spec.CallTime + time.Duration(len(b.items))*s.spec.PieceTime).Seconds()
-	state.factor += factorGain * (now.Sub(b.began).Seconds()/even - state.factor)
+	if worked(outcomes) {
+		state.factor += factorGain * (now.Sub(b.began).Seconds()/s.even(len(b.items)).Seconds() - state.factor)
+	}
 	var unwanted []Result
 	var again []sent
 	for i, item := range b.items {
 		t := item.task
 		switch o := outcomes[i]; {
-		case o.Failure == FailureRoom || o.Failure == FailureFailed:
+		case o.Failure == FailureRoom:
+			t.tries[item.position]--
+			state.until = now.Add(roomPause)
+			again = append(again, item)
+		case o.Failure == FailureFailed:
 			again = append(again, item)
 		case o.Failure != "":
 			t.finish(o.Failure)
@@ -423,6 +466,12 @@
 	return unwanted
 }
 
+// worked reports whether a server made all pieces of a call, so that its time
+// tells how fast it is.
+func worked(outcomes []Outcome) bool {
+	return !slices.ContainsFunc(outcomes, func(o Outcome) bool { return o.Failure != "" })
+}
+
 // takeResults returns the results of a failed task once.
 func (t *task) takeResults() []Result {
 	var results []Result
--- /dev/null
+++ b/internal/stagepool/scheduler_test.go
@@ -0,0 +1,214 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package stagepool_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/stagepool"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	spec  = stagepool.Spec{
+		Service: "read", Size: 8, Slots: 1, CallTime: 150 * time.Millisecond, PieceTime: 16 * time.Millisecond,
+		Room: 39e6, Hold: 4 * time.Second,
+	}
+)
+
+func server(n int, zone string) stagepool.Server {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80)
+	return stagepool.Server{Instance: fmt.Sprintf("s%d", n), Address: address, Zone: zone}
+}
+
+func work(request string, pieces int) stagepool.Work {
+	w := stagepool.Work{Service: "read", Request: request, Latest: start.Add(time.Second), Deadline: start.Add(8 * time.Second)}
+	for i := range pieces {
+		w.Pieces = append(w.Pieces, i)
+	}
+	return w
+}
+
+func made(b stagepool.Batch) []stagepool.Outcome {
+	var outcomes []stagepool.Outcome
+	for i := range b.Requests() {
+		outcomes = append(outcomes, stagepool.Outcome{Handle: fmt.Sprintf("%s/%s/%d", b.Server().Instance, b.Requests()[i], i)})
+	}
+	return outcomes
+}
+
+func failed(b stagepool.Batch, f stagepool.Failure) []stagepool.Outcome {
+	outcomes := make([]stagepool.Outcome, len(b.Requests()))
+	for i := range outcomes {
+		outcomes[i].Failure = f
+	}
+	return outcomes
+}
+
+func next(t *testing.T, s *stagepool.Scheduler, now time.Time) stagepool.Batch {
+	t.Helper()
+	b, ok := s.Next(now)
+	assert.Assert(t, ok, "nothing to send")
+	return b
+}
+
+func TestOneCallHasPiecesOfManyRequests(t *testing.T) {
+	s := stagepool.NewScheduler(spec, server(1, "a"))
+	for i := range 4 {
+		s.Add(start, work(fmt.Sprint(i), 2))
+	}
+	s.Add(start, work("4", 1))
+	b := next(t, s, start)
+	assert.DeepEqual(t, b.Requests(), []string{"0", "0", "1", "1", "2", "2", "3", "3"})
+	_, ok := s.Next(start)
+	assert.Assert(t, !ok, "the server has one call at a time")
+	s.Finish(start.Add(300*time.Millisecond), b, made(b)...)
+	assert.DeepEqual(t, next(t, s, start.Add(300*time.Millisecond)).Requests(), []string{"4"})
+}
+
+func TestIdleServersShareWhatWaits(t *testing.T) {
+	s := stagepool.NewScheduler(spec, server(1, "a"), server(2, "a"))
+	s.Add(start, work("x", 3))
+	s.Add(start, work("y", 3))
+	assert.Equal(t, len(next(t, s, start).Requests()), 3)
+	assert.Equal(t, len(next(t, s, start).Requests()), 3)
+}
+
+// On farbwerk-mix quiet-1, a call whose pieces all failed for room came back in
+// a millisecond. Its server was taken for a very fast one, the next call for
+// overdue, and the server for so slow that it never got work again.
+func TestAFailedCallDoesNotTellASpeed(t *testing.T) {
+	s := stagepool.NewScheduler(spec, server(1, "a"), server(2, "a"))
+	now := start
+	for range 6 {
+		s.Add(now, work("x", 1))
+		b := next(t, s, now)
+		s.Finish(now.Add(time.Millisecond), b, failed(b, stagepool.FailureRoom)...)
+		now = now.Add(100 * time.Millisecond)
+	}
+	for i := range 4 {
+		s.Add(now, work(fmt.Sprint(i), 4))
+	}
+	first, second := next(t, s, now), next(t, s, now)
+	later := now.Add(210 * time.Millisecond)
+	s.Overdue(later)
+	s.Finish(later, first, made(first)...)
+	s.Finish(later, second, made(second)...)
+	s.Add(later, work("y", 8))
+	s.Add(later, work("z", 8))
+	got := []string{next(t, s, later).Server().Instance, next(t, s, later).Server().Instance}
+	assert.Assert(t, got[0] != got[1], "both servers get work, got %v", got)
+}
+
+func TestASlowServerIsTriedAgain(t *testing.T) {
+	s := stagepool.NewScheduler(spec, server(1, "a"), server(2, "a"))
+	s.Add(start, work("x", 1))
+	s.Add(start, work("y", 1))
+	slow, quick := next(t, s, start), next(t, s, start)
+	s.Finish(start.Add(166*time.Millisecond), quick, made(quick)...)
+	now := start.Add(2 * time.Second)
+	s.Finish(now, slow, made(slow)...)
+	used := func(now time.Time) int {
+		for _, name := range []string{"v", "w"} {
+			w := work(name, 8)
+			w.Latest, w.Deadline = now.Add(time.Second), now.Add(8*time.Second)
+			s.Add(now, w)
+		}
+		calls := 0
+		for {
+			b, ok := s.Next(now)
+			if !ok {
+				return calls
+			}
+			calls++
+			defer s.Finish(now.Add(278*time.Millisecond), b, made(b)...)
+		}
+	}
+	assert.Equal(t, used(now), 1, "the slow server waits while the other works")
+	assert.Equal(t, used(now.Add(20*time.Second)), 2, "its slowness is forgotten")
+}
+
+func TestOverdueCallsAreSentElsewhereOnce(t *testing.T) {
+	s := stagepool.NewScheduler(spec, server(1, "a"), server(2, "a"))
+	task := s.Add(start, work("x", 1))
+	first := next(t, s, start)
+	now := start.Add(time.Second)
+	s.Overdue(now)
+	second := next(t, s, now)
+	assert.Assert(t, first.Server() != second.Server())
+	s.Finish(now.Add(200*time.Millisecond), second, made(second)...)
+	failure, done := task.Done()
+	assert.Assert(t, done && failure == "")
+	unwanted := s.Finish(now.Add(time.Second), first, made(first)...)
+	assert.Equal(t, len(unwanted), 1, "the late copy is given up")
+}
+
+func TestNoCallBeyondTheRoomOfAServer(t *testing.T) {
+	s := stagepool.NewScheduler(spec, server(1, "a"))
+	for i := range 4 {
+		w := work(fmt.Sprint(i), 5)
+		w.ResultBytes = 3e6
+		s.Add(start, w)
+	}
+	b := next(t, s, start)
+	assert.Equal(t, len(b.Requests()), 5, "a task that fits one call is not split")
+	outcomes := made(b)
+	now := start.Add(200 * time.Millisecond)
+	s.Finish(now, b, outcomes...)
+	b = next(t, s, now)
+	now = now.Add(200 * time.Millisecond)
+	s.Finish(now, b, made(b)...)
+	_, ok := s.Next(now)
+	assert.Assert(t, !ok, "39 MB hold 13 results of 3 MB, 10 are there")
+	for _, o := range outcomes {
+		s.Release(b.Server().Address, o.Handle)
+	}
+	assert.Equal(t, len(next(t, s, now).Requests()), 5)
+}
+
+func TestHeavyWorkWaitsForItsZoneAWhile(t *testing.T) {
+	s := stagepool.NewScheduler(spec, server(1, "a"), server(2, "b"))
+	w := work("x", 1)
+	w.ResultBytes, w.Zone = 3e6, "b"
+	s.Add(start, w)
+	b := next(t, s, start)
+	assert.Equal(t, b.Server().Zone, "b")
+	s.Add(start, w)
+	_, ok := s.Next(start)
+	assert.Assert(t, !ok, "the server of its zone is busy")
+	assert.Equal(t, next(t, s, start.Add(150*time.Millisecond)).Server().Zone, "a")
+}
+
+func TestLeavingServersGetNoCalls(t *testing.T) {
+	s := stagepool.NewScheduler(spec, server(1, "a"))
+	leaving := server(1, "a")
+	leaving.Leaving = true
+	s.SetServers(leaving)
+	s.Add(start, work("x", 1))
+	_, ok := s.Next(start)
+	assert.Assert(t, !ok)
+}
+
+func TestWhatCannotBeInTimeGoesLast(t *testing.T) {
+	s := stagepool.NewScheduler(spec, server(1, "a"))
+	late := work("late", 8)
+	late.Latest = start.Add(50 * time.Millisecond)
+	s.Add(start, late)
+	s.Add(start, work("timely", 8))
+	assert.Equal(t, next(t, s, start).Requests()[0], "timely")
+}
+
+func TestUnreachableServersAreLeftAlone(t *testing.T) {
+	s := stagepool.NewScheduler(spec, server(1, "a"), server(2, "a"))
+	s.Add(start, work("x", 1))
+	b := next(t, s, start)
+	s.Refuse(start, b, false)
+	again := next(t, s, start)
+	assert.Assert(t, again.Server() != b.Server())
+}
