internal/stagepool: fill calls by splitting tasks where more waits than a call takes

Ruled out: idle servers (state of pools logged: all running). Change: tasks are split when more waits than one call takes; 700 ms a priority instead of 200.

--- a/internal/stagepool/scheduler.go
+++ b/internal/stagepool/scheduler.go
@@ -34,7 +34,7 @@
 	triesMost = 4
 	// priorityTime is how much later a task may be due to go before one of the
 	// next lower priority.
-	priorityTime = 200 * time.Millisecond
+	priorityTime = 700 * time.Millisecond
 	// factorFade is the half-life of a server's slowness, so that one that got
 	// well is tried again.
 	factorFade = 3 * time.Second
@@ -308,13 +308,17 @@
 }
 
 // takes is how many pieces of a task go into a call. A task is split only where
-// it is larger than a call: its pieces then end together and in one zone.
+// it is larger than a call, or where more waits than a call takes and full calls
+// count: otherwise its pieces end together and in one zone.
 func (s *scheduler) takes(t *task, b *batch, most int, room int64) int {
 	count := min(len(t.pending), s.spec.Size-len(b.items))
 	if s.spec.Room > 0 && t.ResultBytes > 0 {
 		count = min(count, int(max(room-b.bytes, 0)/t.ResultBytes))
 	}
 	whole := min(len(t.pending), s.spec.Size)
+	if count > 0 && s.pieces() > s.spec.Size {
+		return min(count, most-len(b.items))
+	}
 	if count < whole && (len(b.items) > 0 || int64(whole)*t.ResultBytes <= s.spec.Room) {
 		return 0
 	}
