internal/stagepool: one owner for each server, no copies of pieces that are made

Change: work without a zone goes to a zone by the servers; a waiting copy is dropped when the result comes; an engine's load estimated from few sends counts less.

--- a/internal/relay/servers.go
+++ b/internal/relay/servers.go
@@ -33,6 +33,8 @@
 	readRate = 60.0
 	// loadWindow is the time over which an engine's load is averaged.
 	loadWindow = 2 * time.Second
+	// loadDoubt is from how many sends on an estimated load counts by half.
+	loadDoubt = 3.0
 	// loadMost bounds the estimated share of an engine that reading takes.
 	loadMost = 0.95
 	// warmFor is how long a shared prompt part is taken to stay in an engine,
@@ -59,8 +61,10 @@
 	// failures counts failures in a row.
 	failures int
 	until    time.Time
-	// tokens is the average of prompt tokens sent per millisecond, as of fed.
+	// tokens is the average of prompt tokens sent per millisecond, and sends
+	// about how many sends it comes from, as of fed.
 	tokens float64
+	sends  float64
 	fed    time.Time
 	// warm has the shared prompts that this host sent here.
 	warm map[uint64]time.Time
@@ -122,15 +126,17 @@
 }
 
 // load is the share of an engine that reading prompts takes, where all hosts
-// send it as much as this one.
+// send it as much as this one. The fewer sends it comes from, the less it says.
 func (k *server) load(now time.Time, hosts int) float64 {
 	keep := math.Exp(-now.Sub(k.fed).Seconds() / loadWindow.Seconds())
-	return min(k.tokens*keep*float64(hosts)/readRate, loadMost)
+	sends := k.sends * keep
+	return min(k.tokens*keep*float64(hosts)/readRate, loadMost) * sends / (sends + loadDoubt)
 }
 
 func (k *server) feed(now time.Time, tokens int) {
 	keep := math.Exp(-now.Sub(k.fed).Seconds() / loadWindow.Seconds())
 	k.tokens = k.tokens*keep + float64(tokens)/float64(loadWindow.Milliseconds())
+	k.sends = k.sends*keep + 1
 	k.fed = now
 }
 
--- a/internal/stagepool/group.go
+++ b/internal/stagepool/group.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
@@ -99,15 +100,15 @@
 }
 
 // shard names the servers of a service that one host owns together: all of
-// them, or those of one zone where there are many.
-func (g *Group) shard(service, zone string) string {
+// them, or those of one zone where there are many. Work without a zone goes to
+// the zones by their servers. The mutex must be held.
+func (g *Group) shard(service, zone, request string) string {
 	servers := g.servers[service]
 	if len(servers) <= shardSize {
 		return service
 	}
-	usable := inZone(servers, zone)
-	if len(usable) == 0 {
-		zone = servers[0].Zone
+	if len(inZone(servers, zone)) == 0 || zone == "" {
+		zone = servers[xxhash.Sum64String(request)%uint64(len(servers))].Zone
 	}
 	return service + "/" + zone
 }
@@ -194,7 +195,7 @@
 // answers, and in the end by this host itself.
 func (g *Group) Run(ctx context.Context, w Work) Answer {
 	g.mu.Lock()
-	shard := g.shard(w.Service, w.Zone)
+	shard := g.shard(w.Service, w.Zone, w.Request)
 	g.mu.Unlock()
 	for _, p := range g.owners(shard) {
 		if p.Address == g.options.Self {
@@ -278,7 +279,7 @@
 	byShard := make(map[string][]Result)
 	g.mu.Lock()
 	for zone, part := range byZone {
-		shard := g.shard(service, zone)
+		shard := g.shard(service, zone, part[0].Handle)
 		byShard[shard] = append(byShard[shard], part...)
 	}
 	g.mu.Unlock()
--- /dev/null
+++ b/internal/stagepool/group_test.go
@@ -0,0 +1,177 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package stagepool_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/stagepool"
+)
+
+// fleet is some hosts whose messages go straight to each other's handlers.
+type fleet struct {
+	mu     sync.Mutex
+	groups map[string]http.Handler
+	// still are hosts that take messages and never answer.
+	still map[string]bool
+	calls map[string]int
+	freed []string
+	peers []stagepool.Peer
+}
+
+// RoundTrip hands a message over.
+func (f *fleet) RoundTrip(r *http.Request) (*http.Response, error) {
+	f.mu.Lock()
+	h, still := f.groups[r.URL.Host], f.still[r.URL.Host]
+	f.mu.Unlock()
+	if still {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	w := &recorder{header: make(http.Header), status: http.StatusOK}
+	h.ServeHTTP(w, r)
+	return &http.Response{StatusCode: w.status, Header: w.header, Body: io.NopCloser(strings.NewReader(w.body.String()))}, nil
+}
+
+type recorder struct {
+	header http.Header
+	body   strings.Builder
+	status int
+}
+
+func (r *recorder) Header() http.Header            { return r.header }
+func (r *recorder) Write(part []byte) (int, error) { return r.body.Write(part) }
+func (r *recorder) WriteHeader(status int)         { r.status = status }
+
+// RunBatch makes all pieces in the time of a call.
+func (f *fleet) RunBatch(_ context.Context, s stagepool.Server, items []stagepool.Item) ([]stagepool.Outcome, error) {
+	time.Sleep(spec.CallTime)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls[s.Instance]++
+	outcomes := make([]stagepool.Outcome, len(items))
+	for i, item := range items {
+		outcomes[i].Handle = s.Instance + "/" + item.Request
+	}
+	return outcomes, nil
+}
+
+// Free notes what is given up.
+func (f *fleet) Free(_ context.Context, _ stagepool.Server, handles []string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.freed = append(f.freed, handles...)
+	return nil
+}
+
+func newFleet(ctx context.Context, hosts int, servers ...stagepool.Server) (*fleet, []*stagepool.Group) {
+	f := &fleet{groups: make(map[string]http.Handler), still: make(map[string]bool), calls: make(map[string]int)}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for i := range hosts {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}), 1)
+		f.peers = append(f.peers, stagepool.Peer{Address: address, Control: netip.AddrPortFrom(address.Addr(), 2)})
+	}
+	var groups []*stagepool.Group
+	for _, p := range f.peers {
+		g := stagepool.New(ctx, stagepool.Options{
+			Self: p.Address, Live: func() []stagepool.Peer { return f.peers }, Driver: f,
+			HTTP: &http.Client{Transport: f}, Log: log, Scope: tally.NoopScope,
+		})
+		g.Configure(map[string]stagepool.Spec{"read": spec}, map[string][]stagepool.Server{"read": servers})
+		_, f.groups[p.Control.String()] = g.Handler()
+		groups = append(groups, g)
+	}
+	return f, groups
+}
+
+func ask(ctx context.Context, g *stagepool.Group, request, zone string) stagepool.Answer {
+	w := work(request, 1)
+	w.Zone = zone
+	w.Latest, w.Deadline = time.Now().Add(time.Second), time.Now().Add(8*time.Second)
+	return g.Run(ctx, w)
+}
+
+func TestPiecesOfAllHostsShareCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f, groups := newFleet(ctx, 4, server(1, "a"))
+		var all sync.WaitGroup
+		for i := range 32 {
+			all.Go(func() {
+				answer := ask(ctx, groups[i%len(groups)], string(rune('a'+i)), "")
+				assert.Check(t, answer.Failure == "" && len(answer.Results) == 1)
+			})
+		}
+		all.Wait()
+		assert.Assert(t, f.calls["s1"] <= 6, "got %d calls for 32 pieces, want 8 in each", f.calls["s1"])
+		cancel()
+	})
+}
+
+func TestAnOwnerThatStandsStillIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f, groups := newFleet(ctx, 3, server(1, "a"))
+		owner := ask(ctx, groups[0], "x", "").Owner
+		asker := groups[0]
+		for i, p := range f.peers {
+			if p.Address == owner {
+				f.still[p.Control.String()] = true
+				asker = groups[(i+1)%len(groups)]
+			}
+		}
+		began := time.Now()
+		answer := ask(ctx, asker, "y", "")
+		assert.Equal(t, answer.Failure, stagepool.Failure(""))
+		assert.Assert(t, time.Since(began) < 800*time.Millisecond, "took %v", time.Since(began))
+		cancel()
+	})
+}
+
+// On arhiva-llm-grown, work without a zone went to a pool of its own that had
+// the servers of all zones: their calls then met those of the zones' owners.
+func TestEachServerHasOneOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var servers []stagepool.Server
+		for i := range 12 {
+			servers = append(servers, server(i+1, string(rune('a'+i%3))))
+		}
+		_, groups := newFleet(ctx, 4, servers...)
+		var all sync.WaitGroup
+		for i := range 60 {
+			zone := []string{"", "a", "b", "c"}[i%4]
+			all.Go(func() { ask(ctx, groups[i%len(groups)], string(rune('a'+i)), zone) })
+		}
+		all.Wait()
+		owners := make(map[netip.AddrPort]int)
+		for _, g := range groups {
+			for _, pool := range g.State() {
+				for _, s := range pool.Servers {
+					owners[s.Address]++
+				}
+			}
+		}
+		for address, count := range owners {
+			assert.Check(t, count == 1, "%v has %d owners", address, count)
+		}
+		cancel()
+	})
+}
--- a/internal/stagepool/scheduler.go
+++ b/internal/stagepool/scheduler.go
@@ -456,6 +456,9 @@
 				continue
 			}
 			t.results[item.position] = r
+			// A copy that still waits must not be sent: a server may give it
+			// the same handle, and giving up the copy would take the result.
+			t.pending = slices.DeleteFunc(t.pending, func(p int) bool { return p == item.position })
 			if t.missing--; t.missing == 0 {
 				t.finish("")
 			}
--- a/internal/stagepool/scheduler_test.go
+++ b/internal/stagepool/scheduler_test.go
@@ -149,6 +149,20 @@
 	assert.Equal(t, len(unwanted), 1, "the late copy is given up")
 }
 
+// On arhiva-llm-grown quiet-1, pieces of overdue calls were sent again after
+// their results had come. The copies had the same handles, and giving them up
+// took the results: 1,400 inputs were gone.
+func TestACopyIsNotSentOnceTheResultIsThere(t *testing.T) {
+	s := stagepool.NewScheduler(spec, server(1, "a"))
+	s.Add(start, work("x", 1))
+	b := next(t, s, start)
+	now := start.Add(time.Second)
+	s.Overdue(now)
+	s.Finish(now, b, made(b)...)
+	_, ok := s.Next(now)
+	assert.Assert(t, !ok)
+}
+
 func TestNoCallBeyondTheRoomOfAServer(t *testing.T) {
 	s := stagepool.NewScheduler(spec, server(1, "a"))
 	add := func(name string) {
--- a/internal/stagepool/service.go
+++ b/internal/stagepool/service.go
@@ -33,7 +33,7 @@
 		return nil, twirp.InvalidArgumentError("pieces", "want 1 to 4096")
 	}
 	s.g.mu.Lock()
-	shard := s.g.shard(w.Service, w.Zone)
+	shard := s.g.shard(w.Service, w.Zone, w.Request)
 	s.g.mu.Unlock()
 	a := s.g.runHere(ctx, shard, w)
 	return &stagepb.RunReply{Results: resultMessages(a.Results), Failure: string(a.Failure), WaitMs: a.Wait.Milliseconds()}, nil
