internal/enginepool: one owner places all prompts of a pool of engines

Ruled out: slots (3 of 64 in use), preemption (0), reading again (212k of 7.1M tokens). Change: the host that owns a pool of up to 24 engines places every prompt, knowing what it sent where and which parts each engine has read; hosts report how prompts went with their next question, decide themselves when no owner answers within 80 ms, and judge servers by internal/health.

--- /dev/null
+++ b/internal/enginepool/book.go
@@ -0,0 +1,257 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package enginepool
+
+import (
+	"slices"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/wingvale/wingvale/internal/health"
+	"github.com/wingvale/wingvale/internal/owner"
+)
+
+const (
+	// ReadRate is how many prompt tokens an engine reads in a millisecond. It
+	// is near what the engines of the first users do; each engine's own pace
+	// comes on top, from its answers.
+	ReadRate = 60.0
+	// pairsRate is how many millions of pairs of tokens an engine weighs
+	// against each other in a millisecond of reading; it matters for prompts
+	// of ten thousand tokens and more.
+	pairsRate = 3.0
+	// Overhead is what an idle engine adds before the first event.
+	Overhead = 20 * time.Millisecond
+	// rereadCost is the time that reading one shared token again is weighed as,
+	// beside the reading itself: the platform prices 10,000 of them like one
+	// lookup, and an engine reads them in 170 ms.
+	rereadCost = 40 * time.Microsecond
+	// crossCost is the time that a megabyte of inputs from another zone is
+	// weighed as; the platform prices 30 of them like one lookup.
+	crossCost = 30 * time.Millisecond
+	// warmFor is how long a shared part is taken to stay in an engine: it has
+	// room for what it reads in about a minute. warmMost bounds the parts that
+	// are remembered.
+	warmFor  = 30 * time.Second
+	warmMost = 8192
+	// homeStep is what being one place further down the prompt's order by
+	// rendezvous hashing costs, so that owners which know nothing agree.
+	homeStep = 4 * time.Millisecond
+	// homes is how many places count.
+	homes = 4
+)
+
+// Engine is one engine as it is published.
+type Engine struct {
+	Instance string
+	Zone     string
+	Leaving  bool
+}
+
+// Prompt is what matters of a request for its place.
+type Prompt struct {
+	// First and Shared name the first shared part and all shared parts; 0 is
+	// none.
+	First  uint64
+	Shared uint64
+	// FirstTokens, SharedTokens and OwnTokens are the sizes of the first shared
+	// part, of all shared parts and of the rest.
+	FirstTokens  int
+	SharedTokens int
+	OwnTokens    int
+	// Zone is where InputBytes of inputs lie.
+	Zone       string
+	InputBytes int64
+	// Except are instances not to be named.
+	Except []string
+}
+
+// Report is how one prompt went.
+type Report struct {
+	Instance string
+	// First is how long the first event took, 0 for none; Expected how long it
+	// should have taken by Place.
+	First    time.Duration
+	Expected time.Duration
+	Failed   bool
+}
+
+// ReadTime is how long an idle engine reads tokens of a prompt after those that
+// it has kept.
+func ReadTime(kept, tokens int) time.Duration {
+	pairs := float64(tokens) * (float64(kept) + float64(tokens)/2) / 1e6
+	ms := float64(tokens)/ReadRate + pairs/pairsRate
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// book is what an owner knows of its engines. It is not safe for concurrent
+// use.
+type book struct {
+	engines map[string]*engine
+	// warm has for each shared part the engines that read it, and when last.
+	warm *lru.Cache[uint64, map[string]time.Time]
+}
+
+type engine struct {
+	Engine
+	health health.Record
+	// freeAt is when it has read all prompts placed on it.
+	freeAt time.Time
+}
+
+func newBook() *book {
+	// The only error is a size below 1.
+	warm, _ := lru.New[uint64, map[string]time.Time](warmMost)
+	return &book{engines: make(map[string]*engine), warm: warm}
+}
+
+func (b *book) setEngines(engines []Engine) {
+	known := b.engines
+	b.engines = make(map[string]*engine, len(engines))
+	for _, e := range engines {
+		k := known[e.Instance]
+		if k == nil {
+			k = &engine{}
+		}
+		k.Engine = e
+		b.engines[e.Instance] = k
+	}
+}
+
+func (b *book) report(now time.Time, r Report) {
+	e := b.engines[r.Instance]
+	if e == nil {
+		return
+	}
+	ratio := 0.0
+	if r.First > 0 && r.Expected > 0 {
+		ratio = r.First.Seconds() / r.Expected.Seconds()
+	}
+	e.health.Ended(now, ratio, r.Failed)
+}
+
+// place names the engine that costs least and notes the prompt there.
+func (b *book) place(now time.Time, p Prompt) Place {
+	var best *engine
+	var bestCost time.Duration
+	ranks := b.ranks(p)
+	for _, e := range b.usable(now, p.Except) {
+		cost := b.cost(now, e, p, ranks)
+		if best == nil || cost < bestCost || cost == bestCost && e.Instance < best.Instance {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return Place{}
+	}
+	missing := b.missing(now, best, p)
+	even := ReadTime(p.SharedTokens-missing, missing+p.OwnTokens)
+	wait := max(best.freeAt.Sub(now), 0)
+	best.freeAt = now.Add(wait + time.Duration(float64(even)*best.health.Ratio(now)))
+	b.remember(now, p.First, best.Instance)
+	b.remember(now, p.Shared, best.Instance)
+	return Place{Instance: best.Instance, Wait: wait, Expected: wait + even + Overhead}
+}
+
+func (b *book) usable(now time.Time, except []string) []*engine {
+	var all, well []*engine
+	for _, e := range b.engines {
+		if e.Leaving || slices.Contains(except, e.Instance) {
+			continue
+		}
+		all = append(all, e)
+		if !e.health.Ejected(now) {
+			well = append(well, e)
+		}
+	}
+	if len(well) == 0 {
+		return all
+	}
+	return well
+}
+
+// Home returns which of the names is the home of a prompt by rendezvous
+// hashing; empty where it shares nothing or there are no names.
+func Home(names []string, first, shared uint64) string {
+	if shared == 0 {
+		return ""
+	}
+	top := owner.TopNames(owner.TopNames(names, first, homes), shared, 1)
+	if len(top) == 0 {
+		return ""
+	}
+	return top[0]
+}
+
+// ranks returns the places of a prompt's homes by rendezvous hashing.
+func (b *book) ranks(p Prompt) map[string]int {
+	if p.Shared == 0 {
+		return nil
+	}
+	names := make([]string, 0, len(b.engines))
+	for name := range b.engines {
+		names = append(names, name)
+	}
+	few := owner.TopNames(names, p.First, homes)
+	ranks := make(map[string]int, homes)
+	for i, name := range owner.TopNames(few, p.Shared, homes) {
+		ranks[name] = i
+	}
+	return ranks
+}
+
+// missing is how many shared tokens an engine has not kept.
+func (b *book) missing(now time.Time, e *engine, p Prompt) int {
+	switch {
+	case p.Shared == 0 || b.isWarm(now, p.Shared, e.Instance):
+		return 0
+	case b.isWarm(now, p.First, e.Instance):
+		return p.SharedTokens - p.FirstTokens
+	default:
+		return p.SharedTokens
+	}
+}
+
+// cost is how long the first event takes at an engine, with the prices of
+// reading again and of crossing zones as time.
+func (b *book) cost(now time.Time, e *engine, p Prompt, ranks map[string]int) time.Duration {
+	missing := b.missing(now, e, p)
+	even := ReadTime(p.SharedTokens-missing, missing+p.OwnTokens)
+	cost := max(e.freeAt.Sub(now), 0) + time.Duration(float64(even)*e.health.Ratio(now))
+	cost += time.Duration(missing) * rereadCost
+	if p.Zone != "" && e.Zone != p.Zone {
+		cost += time.Duration(float64(p.InputBytes) / 1e6 * float64(crossCost))
+	}
+	if p.Shared != 0 {
+		rank, ok := ranks[e.Instance]
+		if !ok {
+			rank = homes
+		}
+		cost += time.Duration(rank) * homeStep
+	}
+	return time.Duration(e.health.Weighed(now, float64(cost+Overhead)))
+}
+
+func (b *book) isWarm(now time.Time, part uint64, instance string) bool {
+	engines, ok := b.warm.Get(part)
+	return ok && now.Sub(engines[instance]) < warmFor
+}
+
+func (b *book) remember(now time.Time, part uint64, instance string) {
+	if part == 0 {
+		return
+	}
+	engines, ok := b.warm.Get(part)
+	if !ok {
+		engines = make(map[string]time.Time)
+		b.warm.Add(part, engines)
+	}
+	for name, at := range engines {
+		if now.Sub(at) > warmFor {
+			delete(engines, name)
+		}
+	}
+	engines[instance] = now
+}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -17,8 +17,10 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/wingvale/wingvale/internal/enginepool"
 	"github.com/wingvale/wingvale/internal/exchange"
 	"github.com/wingvale/wingvale/internal/fleet"
+	"github.com/wingvale/wingvale/internal/owner"
 	"github.com/wingvale/wingvale/internal/peer"
 	"github.com/wingvale/wingvale/internal/peer/peerpb"
 	"github.com/wingvale/wingvale/internal/published"
@@ -64,6 +66,7 @@
 	peers         *http.Client
 	backends      *exchange.Pool
 	stages        *stagepool.Group
+	engines       *enginepool.Group
 	core          *relay.Core
 	members       *members
 	confirm       *confirmer
@@ -117,20 +120,23 @@
 		Listed:   func(netip.AddrPort) bool { return true },
 		Accepted: func(peerpb.Space, []published.Entry) { n.refresh() },
 	})
+	owners := owner.NewFinder(s.Callers, n.live)
 	n.stages = stagepool.New(ctx, stagepool.Options{
 		Self:   s.Callers,
-		Live:   n.live,
+		Owners: owners,
 		Driver: o.StageDriver(n.backends),
 		HTTP:   n.peers,
 		Log:    n.log,
 		Scope:  o.Scope.SubScope("stages"),
 	})
+	n.engines = enginepool.New(enginepool.Options{Owners: owners, HTTP: n.peers, Log: n.log, Scope: o.Scope.SubScope("engines")})
 	n.confirm = newConfirmer(n)
 	n.core = relay.New(relay.Options{
 		Zone:         s.Zone,
 		Dialect:      o.Dialect,
 		Servers:      n.backends,
 		Stages:       n.stages,
+		Engines:      n.engines,
 		Confirm:      n.confirm.now,
 		Hosts:        func() int { return len(n.live()) },
 		Log:          n.log,
@@ -202,14 +208,14 @@
 }
 
 // live returns the nodes that work, this one included unless it leaves.
-func (n *Node) live() []stagepool.Peer {
-	var peers []stagepool.Peer
+func (n *Node) live() []owner.Peer {
+	var peers []owner.Peer
 	if !n.leaving.Load() {
-		peers = append(peers, stagepool.Peer{Address: n.settings.Callers, Control: n.settings.Peer})
+		peers = append(peers, owner.Peer{Address: n.settings.Callers, Control: n.settings.Peer})
 	}
 	for _, m := range n.view.Members() {
 		if m.State == fleet.StateLive {
-			peers = append(peers, stagepool.Peer{Address: m.Address, Control: m.Peer})
+			peers = append(peers, owner.Peer{Address: m.Address, Control: m.Peer})
 		}
 	}
 	return peers
@@ -236,6 +242,8 @@
 	mux.Mount(path, handler)
 	path, handler = n.stages.Handler()
 	mux.Mount(path, handler)
+	path, handler = n.engines.Handler()
+	mux.Mount(path, handler)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: 2 * peerIdle}
 	var parts sync.WaitGroup
 	for _, w := range n.watchers {
@@ -312,6 +320,7 @@
 	n.core.SetServers(servers)
 	if catalog := n.core.Catalog(); catalog != nil {
 		n.stages.Configure(poolsOf(catalog, servers))
+		n.engines.Configure(enginesOf(catalog, servers))
 	}
 }
 
@@ -342,3 +351,14 @@
 	}
 	return specs, byService
 }
+
+// enginesOf returns the engines of a configuration by service.
+func enginesOf(catalog *relay.Catalog, servers []relay.Server) map[string][]enginepool.Engine {
+	byService := make(map[string][]enginepool.Engine)
+	for _, s := range servers {
+		if service := catalog.Service(s.Service); service != nil && service.Engine != nil {
+			byService[s.Service] = append(byService[s.Service], enginepool.Engine{Instance: s.Instance, Zone: s.Zone, Leaving: s.Leaving})
+		}
+	}
+	return byService
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -58,3 +58,29 @@
 	}
 	return top[0]
 }
+
+// TopNames is Top for names and a key that is a hash already.
+func TopNames(names []string, key uint64, count int) []string {
+	type scored struct {
+		name  string
+		score uint64
+	}
+	all := make([]scored, len(names))
+	var d xxhash.Digest
+	for i, n := range names {
+		d.ResetWithSeed(key)
+		_, _ = d.WriteString(n)
+		all[i] = scored{name: n, score: d.Sum64()}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.name, b.name)
+	})
+	top := make([]string, 0, min(count, len(all)))
+	for _, s := range all[:min(max(count, 0), len(all))] {
+		top = append(top, s.name)
+	}
+	return top
+}
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/wingvale/wingvale/internal/enginepool"
 	"github.com/wingvale/wingvale/internal/exchange"
 	"github.com/wingvale/wingvale/internal/stagepool"
 )
@@ -23,6 +24,7 @@
 	Dialect Dialect
 	Servers *exchange.Pool
 	Stages  *stagepool.Group
+	Engines *enginepool.Group
 	// Confirm makes sure that the configuration in force is the newest there
 	// is, and reports whether it could.
 	Confirm func(ctx context.Context) bool
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/wingvale/wingvale/internal/enginepool"
 	"github.com/wingvale/wingvale/internal/exchange"
 	"github.com/wingvale/wingvale/verdict"
 )
@@ -25,9 +26,9 @@
 	// are how long the first event is waited for where another may serve.
 	firstFactor = 5
 	firstLeast  = 900 * time.Millisecond
-	// firstOverhead is what an idle engine adds before its first event, as
-	// measured on the first site.
-	firstOverhead = 20 * time.Millisecond
+	// placesMost bounds how often an engine is asked for that turns out to be
+	// leaving.
+	placesMost = 3
 	// silentLeast is the least silence that means something.
 	silentLeast = 500 * time.Millisecond
 	copyBuffer  = 4 << 10
@@ -46,31 +47,22 @@
 			g.release()
 		}
 	}()
-	s := &stream{job: j, sink: sink}
+	s := &stream{job: j, sink: sink, prompt: j.prompt()}
 	for remakes := 0; ; {
-		engine, ok := j.core.servers.chooseEngine(j.service.Name, j.Request, j.core.options.Hosts(), j.tried)
-		if !ok {
-			return s.fail(j.refuse(verdict.ReasonNoServer, fullAfter, "no server of %s", j.service.Name))
-		}
 		if g == nil {
-			g = newGraph(j, engine.Zone)
-			err := j.prepare(ctx, g)
-			if err != nil {
-				j.core.servers.ended(engine.Instance, 0, false)
-			}
-			if errors.Is(err, errGone) && remakes < remakesMost {
+			g = newGraph(j, j.core.servers.homeZone(j.service.Name, s.prompt))
+			if err := j.prepare(ctx, g); errors.Is(err, errGone) && remakes < remakesMost {
 				remakes++
 				g.release()
 				g = nil
 				continue
-			}
-			if err != nil {
+			} else if err != nil {
 				return s.fail(err)
 			}
-			if j.core.servers.leaving(engine.Instance) {
-				j.core.servers.ended(engine.Instance, 0, false)
-				continue
-			}
+		}
+		engine, ok := s.place(ctx, g)
+		if !ok {
+			return s.fail(j.refuse(verdict.ReasonNoServer, fullAfter, "no server of %s", j.service.Name))
 		}
 		err := s.from(ctx, engine, g)
 		if err == nil {
@@ -92,6 +84,26 @@
 	}
 }
 
+// place has an engine chosen for the prompt. One that is leaving or gone here
+// is passed over: the owner may not know yet.
+func (s *stream) place(ctx context.Context, g *graph) (Server, bool) {
+	j := s.job
+	s.prompt.Zone, s.prompt.InputBytes = g.zone, g.largeBytes()
+	s.prompt.Except = j.tried
+	for range placesMost {
+		place := j.core.options.Engines.Place(ctx, j.service.Name, s.prompt)
+		if place.Instance == "" {
+			return Server{}, false
+		}
+		if engine, ok := j.core.servers.take(place.Instance); ok {
+			s.expected = place.Expected
+			return engine, true
+		}
+		s.prompt.Except = append(s.prompt.Except, place.Instance)
+	}
+	return Server{}, false
+}
+
 // errGone says that an engine found an input gone; the request did not run.
 var errGone = verdict.New(verdict.NotRun, verdict.ReasonRefused, "relay: an input is gone")
 
@@ -117,6 +129,23 @@
 	// started says that the caller has the head.
 	started bool
 	split   splitter
+	prompt  enginepool.Prompt
+	// expected is how long the first event should take at the engine chosen
+	// last.
+	expected time.Duration
+}
+
+// ended notes how an engine did: how long its first event took, 0 for none.
+func (s *stream) ended(engine Server, first time.Duration, failed bool) {
+	c := s.job.core
+	ratio := 0.0
+	if first > 0 && s.expected > 0 {
+		ratio = first.Seconds() / s.expected.Seconds()
+	}
+	c.servers.ended(engine.Instance, ratio, failed)
+	c.options.Engines.Ended(s.job.service.Name, s.prompt.First, enginepool.Report{
+		Instance: engine.Instance, First: first, Expected: s.expected, Failed: failed,
+	})
 }
 
 // fail returns err as the caller is to see it.
@@ -157,7 +186,7 @@
 	defer w.stop()
 	answer, head, err := j.send(ctx, engine, g.inputs(), s.split.last)
 	if err != nil {
-		j.core.servers.ended(engine.Instance, 0, !head.NotRun && !left(ctx))
+		s.ended(engine, 0, !head.NotRun && !left(ctx))
 		if head.Gone {
 			return errGone
 		}
@@ -165,16 +194,15 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.Status != http.StatusOK {
-		j.core.servers.ended(engine.Instance, 0, answer.Status >= http.StatusInternalServerError)
+		s.ended(engine, 0, answer.Status >= http.StatusInternalServerError)
 		return s.passFailure(answer)
 	}
 	first, err := s.copy(answer, g, w)
-	ratio := 0.0
+	took := time.Duration(0)
 	if !first.IsZero() {
-		ratio = first.Sub(began).Seconds() / (expectedRead(j.Request) + firstOverhead).Seconds()
+		took = first.Sub(began)
 	}
-	failed := err != nil && !errors.Is(err, ErrCut) && !left(ctx)
-	j.core.servers.ended(engine.Instance, ratio, failed)
+	s.ended(engine, took, err != nil && !errors.Is(err, ErrCut) && !left(ctx))
 	return err
 }
 
@@ -271,7 +299,7 @@
 	if !j.route.Resumable || j.ran()+1 >= j.route.MaxAttempts {
 		return &watchdog{}
 	}
-	first := max(firstLeast, firstFactor*expectedRead(j.Request))
+	first := max(firstLeast, firstFactor*s.expected)
 	return &watchdog{
 		timer: time.AfterFunc(first, func() { cancel(errSilent) }),
 		pause: max(silentGaps*j.route.MaxGap, silentLeast),
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -52,24 +52,6 @@
 	return 1
 }
 
-// sharedTokens is the size of the prompt without its last part.
-func (r *Request) sharedTokens() int {
-	total := 0
-	for i := 0; i+1 < len(r.Parts); i++ {
-		total += r.Parts[i].Tokens
-	}
-	return total
-}
-
-// tokens is the size of the whole prompt.
-func (r *Request) tokens() int {
-	total := 0
-	for _, p := range r.Parts {
-		total += p.Tokens
-	}
-	return max(total, r.TokensIn)
-}
-
 // Send is what a dialect adds to a request on its way to a server.
 type Send struct {
 	Instance  string
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -265,6 +265,17 @@
 	return handles
 }
 
+// largeBytes is the expected size of the large results that the request needs.
+func (g *graph) largeBytes() int64 {
+	var total int64
+	for i, stage := range g.job.route.Stages {
+		if g.depth[i] == 1 && stage.ResultBytes >= largeResult {
+			total += int64(len(g.results[i])) * stage.ResultBytes
+		}
+	}
+	return total
+}
+
 // release gives up all results.
 func (g *graph) release() {
 	for i, results := range g.results {
--- a/internal/stagepool/group.go
+++ b/internal/stagepool/group.go
@@ -19,19 +19,11 @@
 	"github.com/wingvale/wingvale/internal/stagepool/stagepb"
 )
 
-// Peer is another host as far as this package needs it.
-type Peer struct {
-	// Address names the host; Control is where it serves its peers.
-	Address netip.AddrPort
-	Control netip.AddrPort
-}
-
 // Options are a Group's dependencies; all are needed.
 type Options struct {
 	// Self is this host.
-	Self netip.AddrPort
-	// Live returns the hosts that work, this one included unless it leaves.
-	Live   func() []Peer
+	Self   netip.AddrPort
+	Owners *owner.Finder
 	Driver Driver
 	HTTP   *http.Client
 	Log    logrus.FieldLogger
@@ -47,8 +39,6 @@
 	aliveAfter = 200 * time.Millisecond
 	aliveEvery = 300 * time.Millisecond
 	aliveFor   = 150 * time.Millisecond
-	// avoidFor is how long a host that did not answer is passed over.
-	avoidFor = 2 * time.Second
 	// ownersTried bounds how many hosts are asked before this one acts itself.
 	ownersTried = 2
 )
@@ -67,8 +57,6 @@
 	specs map[string]Spec
 	// servers has the servers of each service.
 	servers map[string][]Server
-	// avoided is until when hosts are passed over.
-	avoided map[netip.AddrPort]time.Time
 }
 
 // New returns a group whose calls end with ctx.
@@ -79,7 +67,6 @@
 		pools:   make(map[string]*Pool),
 		specs:   make(map[string]Spec),
 		servers: make(map[string][]Server),
-		avoided: make(map[netip.AddrPort]time.Time),
 	}
 }
 
@@ -153,34 +140,6 @@
 	return p
 }
 
-// owners returns the hosts to ask for a shard, the best first.
-func (g *Group) owners(shard string) []Peer {
-	now := time.Now()
-	live := g.options.Live()
-	byAddress := make(map[netip.AddrPort]Peer, len(live))
-	addresses := make([]netip.AddrPort, 0, len(live))
-	g.mu.Lock()
-	for _, p := range live {
-		if now.Before(g.avoided[p.Address]) {
-			continue
-		}
-		byAddress[p.Address] = p
-		addresses = append(addresses, p.Address)
-	}
-	g.mu.Unlock()
-	var peers []Peer
-	for _, a := range owner.Top(addresses, shard, ownersTried) {
-		peers = append(peers, byAddress[a])
-	}
-	return peers
-}
-
-func (g *Group) avoid(address netip.AddrPort) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.avoided[address] = time.Now().Add(avoidFor)
-}
-
 // Answer is what Run returns.
 type Answer struct {
 	Results []Result
@@ -197,10 +156,7 @@
 	g.mu.Lock()
 	shard := g.shard(w.Service, w.Zone, w.Request)
 	g.mu.Unlock()
-	for _, p := range g.owners(shard) {
-		if p.Address == g.options.Self {
-			break
-		}
+	for _, p := range g.options.Owners.Others(shard, ownersTried) {
 		answer, err := g.ask(ctx, p, w)
 		if err == nil {
 			return answer
@@ -208,7 +164,7 @@
 		if ctx.Err() != nil {
 			return Answer{Failure: FailureLate}
 		}
-		g.avoid(p.Address)
+		g.options.Owners.Avoid(p.Address)
 		g.options.Scope.Counter("owner_failed").Inc(1)
 		g.options.Log.WithError(err).WithFields(logrus.Fields{"peer": p.Address, "pool": shard, "request": w.Request}).
 			Warn("the owner of a stage pool failed; asking the next")
@@ -226,7 +182,7 @@
 }
 
 // ask hands w to another host, and gives up on it when it stands still.
-func (g *Group) ask(ctx context.Context, p Peer, w Work) (Answer, error) {
+func (g *Group) ask(ctx context.Context, p owner.Peer, w Work) (Answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	client := stagepb.NewStagesProtobufClient("http://"+p.Control.String(), g.options.HTTP)
@@ -289,10 +245,7 @@
 }
 
 func (g *Group) releaseShard(shard string, results []Result) {
-	for _, p := range g.owners(shard) {
-		if p.Address == g.options.Self {
-			break
-		}
+	for _, p := range g.options.Owners.Others(shard, ownersTried) {
 		ctx, cancel := context.WithTimeout(g.ctx, freeFor)
 		client := stagepb.NewStagesProtobufClient("http://"+p.Control.String(), g.options.HTTP)
 		_, err := client.Release(ctx, &stagepb.ReleaseRequest{Service: shard, Results: resultMessages(results)})
--- a/internal/stagepool/group_test.go
+++ b/internal/stagepool/group_test.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"github.com/wingvale/wingvale/internal/owner"
 	"github.com/wingvale/wingvale/internal/stagepool"
 )
 
@@ -29,7 +30,7 @@
 	still map[string]bool
 	calls map[string]int
 	freed []string
-	peers []stagepool.Peer
+	peers []owner.Peer
 }
 
 // RoundTrip hands a message over.
@@ -83,12 +84,12 @@
 	log.SetOutput(io.Discard)
 	for i := range hosts {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}), 1)
-		f.peers = append(f.peers, stagepool.Peer{Address: address, Control: netip.AddrPortFrom(address.Addr(), 2)})
+		f.peers = append(f.peers, owner.Peer{Address: address, Control: netip.AddrPortFrom(address.Addr(), 2)})
 	}
 	var groups []*stagepool.Group
 	for _, p := range f.peers {
 		g := stagepool.New(ctx, stagepool.Options{
-			Self: p.Address, Live: func() []stagepool.Peer { return f.peers }, Driver: f,
+			Self: p.Address, Owners: owner.NewFinder(p.Address, func() []owner.Peer { return f.peers }), Driver: f,
 			HTTP: &http.Client{Transport: f}, Log: log, Scope: tally.NoopScope,
 		})
 		g.Configure(map[string]stagepool.Spec{"read": spec}, map[string][]stagepool.Server{"read": servers})
