internal/stagepool, enginepool: give up on lost calls; new owners trust homes

Ruled out: the owner's answers (no owner_failed line), engines' room. Change: a call that takes twice its time and 120 ms is given up, its server gets work again, and what it made counts as room until it expires; for 20 s a new owner takes 70% of a prompt's shared parts to be at its home, in its choice alone; a place further from home costs 10 ms.

--- a/internal/enginepool/book.go
+++ b/internal/enginepool/book.go
@@ -37,8 +37,15 @@
 	warmFor  = 30 * time.Second
 	warmMost = 8192
 	// homeStep is what being one place further down the prompt's order by
-	// rendezvous hashing costs, so that owners which know nothing agree.
-	homeStep = 4 * time.Millisecond
+	// rendezvous hashing costs, so that an owner which knows nothing yet finds
+	// the parts where the one before put them. It is small beside what a long
+	// shared part takes to read.
+	homeStep = 10 * time.Millisecond
+	// youngDoubt is the share of a prompt's shared parts that an owner takes the
+	// prompt's home to lack while it is new and does not know; it has seen most
+	// of them after youngFor.
+	youngDoubt = 0.3
+	youngFor   = 20 * time.Second
 	// homes is how many places count.
 	homes = 4
 )
@@ -90,6 +97,8 @@
 // use.
 type book struct {
 	engines map[string]*engine
+	// since is when the owner began to place prompts.
+	since time.Time
 	// warm has for each shared part the engines that read it, and when last.
 	warm *lru.Cache[uint64, map[string]time.Time]
 }
@@ -134,6 +143,9 @@
 
 // place names the engine that costs least and notes the prompt there.
 func (b *book) place(now time.Time, p Prompt) Place {
+	if b.since.IsZero() {
+		b.since = now
+	}
 	var best *engine
 	var bestCost time.Duration
 	ranks := b.ranks(p)
@@ -218,19 +230,20 @@
 // reading again and of crossing zones as time.
 func (b *book) cost(now time.Time, e *engine, p Prompt, ranks map[string]int) time.Duration {
 	missing := b.missing(now, e, p)
+	rank, home := ranks[e.Instance]
+	if home && rank == 0 && now.Sub(b.since) < youngFor {
+		missing = int(youngDoubt * float64(missing))
+	}
 	even := ReadTime(p.SharedTokens-missing, missing+p.OwnTokens)
 	cost := max(e.freeAt.Sub(now), 0) + time.Duration(float64(even)*e.health.Ratio(now))
 	cost += time.Duration(missing) * rereadCost
 	if p.Zone != "" && e.Zone != p.Zone {
 		cost += time.Duration(float64(p.InputBytes) / 1e6 * float64(crossCost))
 	}
-	if p.Shared != 0 {
-		rank, ok := ranks[e.Instance]
-		if !ok {
-			rank = homes
-		}
-		cost += time.Duration(rank) * homeStep
+	if !home {
+		rank = homes
 	}
+	cost += time.Duration(rank) * homeStep
 	return time.Duration(e.health.Weighed(now, float64(cost+Overhead)))
 }
 
--- a/internal/relay/servers.go
+++ b/internal/relay/servers.go
@@ -60,14 +60,6 @@
 	s.byService, s.byID = byService, byID
 }
 
-// leaving reports whether a server must get no new work, or is not there.
-func (s *servers) leaving(instance string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	known := s.byID[instance]
-	return known == nil || known.Leaving
-}
-
 // usable returns the servers of a service that may get work now, without
 // those excepted. Where failures leave out all, they are forgotten.
 func (s *servers) usable(service string, now time.Time, except []string) []*server {
--- a/internal/stagepool/pool.go
+++ b/internal/stagepool/pool.go
@@ -36,8 +36,6 @@
 	// each tellEvery.
 	tellAfter = 500 * time.Millisecond
 	tellEvery = time.Second
-	// slowCall times its even time is how long a call takes that is logged.
-	slowCall = 2
 )
 
 // Pool owns the servers of one service. It is safe for concurrent use.
@@ -112,14 +110,19 @@
 // kick sends what can be sent. The mutex must be held.
 func (p *Pool) kick() {
 	now := time.Now()
-	again := p.scheduler.overdue(now)
+	late, again := p.scheduler.overdue(now)
+	for _, b := range late {
+		p.abandon(now, b)
+	}
 	for {
 		b := p.scheduler.next(now)
 		if b == nil {
 			break
 		}
 		again = true
-		p.calls.Go(func() { p.call(b) })
+		ctx, cancel := context.WithTimeout(p.ctx, callMost)
+		b.cancel = cancel
+		p.calls.Go(func() { p.call(ctx, b) })
 	}
 	p.tell(now)
 	if (again || len(p.scheduler.waiting) > 0) && !p.timed && p.ctx.Err() == nil {
@@ -145,7 +148,18 @@
 		Info("work waits long for stage servers")
 }
 
-func (p *Pool) call(b *batch) {
+// abandon ends a call whose answer is not waited for any more.
+func (p *Pool) abandon(now time.Time, b *batch) {
+	b.cancel()
+	p.scope.Counter("calls_overdue").Inc(1)
+	p.log.WithFields(logrus.Fields{
+		"server": b.server.Address, "instance": b.server.Instance, "pieces": len(b.items),
+		"took_ms": now.Sub(b.began).Milliseconds(), "expected_ms": b.expected.Milliseconds(),
+	}).Info("stage call overdue; its pieces go elsewhere")
+}
+
+func (p *Pool) call(ctx context.Context, b *batch) {
+	defer b.cancel()
 	items := make([]Item, 0, len(b.items))
 	for _, s := range b.items {
 		t := s.task
@@ -160,18 +174,12 @@
 	}
 	p.scope.Counter("calls").Inc(1)
 	p.scope.Counter("pieces").Inc(int64(len(items)))
-	ctx, cancel := context.WithTimeout(p.ctx, callMost)
-	defer cancel()
 	outcomes, err := p.driver.RunBatch(ctx, b.server.Server, items)
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if took := now.Sub(b.began); took > slowCall*p.scheduler.even(len(items)) {
-		p.log.WithError(err).WithFields(logrus.Fields{
-			"server": b.server.Address, "instance": b.server.Instance, "pieces": len(items), "took_ms": took.Milliseconds(),
-			"expected_ms": b.expected.Milliseconds(), "doubled": b.doubled, "outcome": outcomes[:min(1, len(outcomes))],
-			"request": items[0].Request, "stage": items[0].Stage, "inputs": len(items[0].Inputs),
-		}).Info("slow stage call")
+	if b.abandoned {
+		return
 	}
 	if err == nil {
 		p.free(p.scheduler.finished(now, b, outcomes))
--- a/internal/stagepool/scheduler.go
+++ b/internal/stagepool/scheduler.go
@@ -5,6 +5,8 @@
 
 import (
 	"cmp"
+	"context"
+	"fmt"
 	"math"
 	"net/netip"
 	"slices"
@@ -41,8 +43,8 @@
 	// roomPause is how long a server without room gets no work, unless results
 	// are given up there before.
 	roomPause = 50 * time.Millisecond
-	// overdueFactor times its expected time is how long a call may take before
-	// its pieces are sent to another server as well.
+	// overdueFactor times its expected time and overdueSlack is how long a call
+	// may take before its pieces are sent to another server.
 	overdueFactor = 2.0
 	overdueSlack  = 120 * time.Millisecond
 	// recheck is how soon servers whose calls are overdue are looked at again.
@@ -88,8 +90,10 @@
 	began    time.Time
 	expected time.Duration
 	bytes    int64
-	// doubled says that its pieces were sent to another server as well.
-	doubled bool
+	// abandoned says that its answer is not waited for any more; cancel ends
+	// it.
+	abandoned bool
+	cancel    context.CancelFunc
 }
 
 // serverState is what the owner knows of a server.
@@ -369,26 +373,34 @@
 	}
 }
 
-// overdue sends the pieces of calls that take far too long to other servers as
-// well, and reports whether there are calls to look at again.
-func (s *scheduler) overdue(now time.Time) bool {
-	again := false
+// overdue gives up on calls that take far too long: the answer is lost, or the
+// server much slower than it was. It returns them, and reports whether there
+// are calls to look at again. What they made takes up room until it expires.
+func (s *scheduler) overdue(now time.Time) (late []*batch, again bool) {
 	for _, state := range s.servers {
-		for _, b := range state.running {
-			if b.doubled {
-				continue
-			}
+		for _, b := range slices.Clone(state.running) {
 			limit := time.Duration(overdueFactor*float64(b.expected)) + overdueSlack
 			if now.Sub(b.began) < limit {
 				again = true
 				continue
 			}
-			b.doubled = true
+			late = append(late, b)
+			s.remove(b)
+			b.abandoned = true
 			state.factor = max(state.factor, now.Sub(b.began).Seconds()/s.even(len(b.items)).Seconds())
+			state.until = now.Add(fullPause)
+			state.used -= b.bytes
+			state.hold(fmt.Sprintf("lost %d", b.began.UnixNano()), b.bytes, now.Add(s.spec.Hold))
 			s.resend(b.items)
 		}
 	}
-	return again
+	return late, again
+}
+
+// hold notes room that is taken until it is given up or expires.
+func (s *serverState) hold(handle string, bytes int64, expires time.Time) {
+	s.used += bytes
+	s.held[handle] = heldResult{bytes: bytes, expires: expires}
 }
 
 // resend lets pieces wait again.
@@ -412,6 +424,9 @@
 // refused notes that a call was not taken: the server was full, or could not be
 // reached.
 func (s *scheduler) refused(now time.Time, b *batch, full bool) {
+	if b.abandoned {
+		return
+	}
 	s.remove(b)
 	b.server.used -= b.bytes
 	if full {
@@ -427,6 +442,9 @@
 // finished takes the outcomes of a call, one for each item, and returns the
 // results that nobody wants.
 func (s *scheduler) finished(now time.Time, b *batch, outcomes []Outcome) []Result {
+	if b.abandoned {
+		return nil
+	}
 	s.remove(b)
 	state := b.server
 	state.failures = 0
@@ -449,8 +467,7 @@
 			t.finish(o.Failure)
 		default:
 			r := Result{Handle: o.Handle, Server: state.Address, Zone: state.Zone}
-			state.used += t.ResultBytes
-			state.held[o.Handle] = heldResult{bytes: t.ResultBytes, expires: now.Add(s.spec.Hold)}
+			state.hold(o.Handle, t.ResultBytes, now.Add(s.spec.Hold))
 			if t.ended || t.results[item.position].Handle != "" {
 				unwanted = append(unwanted, r)
 				continue
