internal/relay: refuse at once what callers would give up before it begins

Ruled out: slow engines (98 in 100 begin within 1.2 s). Change: routes say how long callers wait for a first event; stages must end before it, and a request that cannot begin by then is refused with the wait of its fullest pool. A node without a configuration asks callers to come back after a second.

--- a/internal/relay/catalog.go
+++ b/internal/relay/catalog.go
@@ -57,7 +57,10 @@
 	Timeout   time.Duration
 	Objective time.Duration
 	MaxGap    time.Duration
-	Priority  int
+	// FirstWithin is how long callers wait for the first event of a stream; 0
+	// is as long as for the whole.
+	FirstWithin time.Duration
+	Priority    int
 	// MaxAttempts is how many servers one request may run on, at least 1.
 	MaxAttempts int
 	Targets     []Target
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -112,9 +112,8 @@
 	if !g.needed() {
 		return nil
 	}
-	need := g.estimate(len(j.route.Stages)) / 2
-	if j.left() < need {
-		return j.refuse(verdict.ReasonDeadline, fullAfter, "%v left, the stages need %v", j.left(), need)
+	if need := g.estimate(len(j.route.Stages)) + expectedRead(j.Request); time.Until(j.firstBy) < need {
+		return j.refuse(verdict.ReasonDeadline, g.waits(), "%v left to begin, %v needed", time.Until(j.firstBy).Round(time.Millisecond), need)
 	}
 	began := time.Now()
 	err := g.run(ctx)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -29,8 +29,13 @@
 // ErrLeft says that the caller has left.
 var ErrLeft = errors.New("relay: the caller has left")
 
-// retryLeast is the least time that a refused caller is told to stay away.
-const retryLeast = 100 * time.Millisecond
+const (
+	// retryLeast is the least time that a refused caller is told to stay away.
+	retryLeast = 100 * time.Millisecond
+	// unknownAfter is the same while there is no configuration: a node that
+	// starts has one within a second of the publisher's return.
+	unknownAfter = time.Second
+)
 
 // job is one request under way.
 type job struct {
@@ -40,8 +45,11 @@
 	workspace *Workspace
 	service   *Service
 	catalog   *Catalog
-	// objective and deadline are moments.
+	// objective, firstBy and deadline are moments: an answer is in time until
+	// the first, its beginning of use until the second, and all of it until the
+	// last.
 	objective time.Time
+	firstBy   time.Time
 	deadline  time.Time
 	log       logrus.FieldLogger
 	// tried has the instances not to be tried again.
@@ -118,7 +126,7 @@
 func (c *Core) admit(ctx context.Context, r *Request) (*job, error) {
 	catalog := c.catalog.Load()
 	if catalog == nil {
-		return nil, verdict.New(verdict.NotRun, verdict.ReasonNotReady, "relay: no configuration yet").After(retryLeast)
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNotReady, "relay: no configuration yet").After(unknownAfter)
 	}
 	route, workspace, refusal := catalog.authorise(r)
 	if refusal != nil {
@@ -142,6 +150,10 @@
 	}
 	j.deadline = r.Arrived.Add(held)
 	j.objective = r.Arrived.Add(route.Objective)
+	j.firstBy = j.deadline
+	if route.FirstWithin > 0 {
+		j.firstBy = r.Arrived.Add(min(held, route.FirstWithin))
+	}
 	j.log = c.log.WithFields(logrus.Fields{"request": r.ID, "route": route.Name})
 	c.retries.first(j.service.Name)
 	return j, nil
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -85,6 +85,17 @@
 	return total
 }
 
+// waits is how long new work waits at the fullest of the stages' pools.
+func (g *graph) waits() time.Duration {
+	var longest time.Duration
+	for i, stage := range g.job.route.Stages {
+		if g.job.pieces(i) > 0 {
+			longest = max(longest, g.job.core.wait(stage.Service))
+		}
+	}
+	return longest
+}
+
 // stageTime is how long one stage of a service takes.
 func (j *job) stageTime(service string) time.Duration {
 	s := j.catalog.Service(service)
@@ -179,7 +190,7 @@
 		Workspace:   j.workspace.Name,
 		Route:       j.route.Name,
 		Latest:      j.objective.Add(-after),
-		Deadline:    j.deadline.Add(-after / 2),
+		Deadline:    j.firstBy.Add(-after / 2),
 		Priority:    j.priority(),
 		ResultBytes: stage.ResultBytes,
 		InputBytes:  g.inputBytes(i),
