--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -88,7 +88,7 @@
 // is passed over: the owner may not know yet.
 func (s *stream) place(ctx context.Context, g *graph) (Server, bool) {
 	j := s.job
-	s.prompt.Zone, s.prompt.InputBytes = g.zone, g.largeBytes()
+	s.prompt.Zone, s.prompt.InputBytes = g.inputsAt()
 	s.prompt.Except = j.tried
 	for range placesMost {
 		place := j.core.options.Engines.Place(ctx, j.service.Name, s.prompt)
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -276,15 +276,24 @@
 	return handles
 }
 
-// largeBytes is the expected size of the large results that the request needs.
-func (g *graph) largeBytes() int64 {
-	var total int64
+// inputsAt returns where most of the large results that the request needs lie,
+// and their expected size.
+func (g *graph) inputsAt() (zone string, bytes int64) {
+	byZone := make(map[string]int64)
 	for i, stage := range g.job.route.Stages {
-		if g.depth[i] == 1 && stage.ResultBytes >= largeResult {
-			total += int64(len(g.results[i])) * stage.ResultBytes
+		if g.depth[i] != 1 || stage.ResultBytes < largeResult {
+			continue
+		}
+		for _, r := range g.results[i] {
+			byZone[r.Zone] += stage.ResultBytes
 		}
 	}
-	return total
+	for z, b := range byZone {
+		if b > bytes || b == bytes && z < zone {
+			zone, bytes = z, b
+		}
+	}
+	return zone, bytes
 }
 
 // release gives up all results.
