internal/stagepool: work that is not tied to a zone goes where it waits less

Change: only heavy inputs tie work to a zone, the rest goes to the one of two zones by their servers that waits less, and tied work leaves its zone where it would wait 250 ms longer. Peers instead of the store confirm what is unknown, and watches gather changes for 200 ms.

--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -19,13 +19,13 @@
 	// confirmRead and confirmPeers bound asking the publisher and peers.
 	confirmRead  = 300 * time.Millisecond
 	confirmPeers = 600 * time.Millisecond
-	// consulted is how many peers are asked where the publisher is silent.
+	// consulted is how many peers are asked.
 	consulted = 2
 )
 
-// confirmer makes sure that the node has the newest configuration, by the
-// publisher or else by peers. Callers that ask at the same time share one
-// answer.
+// confirmer makes sure that the node has the newest configuration: by peers,
+// which cost nothing and are told of each change at once, or else by the
+// publisher. Callers that ask at the same time share one answer.
 type confirmer struct {
 	node *Node
 
@@ -66,7 +66,7 @@
 
 func (c *confirmer) run(running chan struct{}) {
 	began := time.Now()
-	ok := c.read() || c.ask()
+	ok := c.ask() || c.read()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ok, c.at = ok, began
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -185,6 +185,9 @@
 	// backoffMost bounds the pause between tries to reach the publisher, so
 	// that its return is noticed in time.
 	backoffMost = 500 * time.Millisecond
+	// watchPause gathers changes that come in a row, as when many servers
+	// start; it is small beside the 2 s in which a change must be in force.
+	watchPause = 200 * time.Millisecond
 )
 
 func (n *Node) newWatcher(space publisher.Space, id peerpb.Space, store publisher.Store) *publisher.Watcher {
@@ -204,6 +207,7 @@
 		Log:         n.log,
 		Random:      child(n.random),
 		MostBackoff: backoffMost,
+		Pause:       watchPause,
 	})
 }
 
--- a/internal/publisher/watcher.go
+++ b/internal/publisher/watcher.go
@@ -62,6 +62,9 @@
 	Random   *rand.Rand
 	// MostBackoff bounds the pause between tries; 0 takes the default.
 	MostBackoff time.Duration
+	// Pause follows each watch that brought changes, so that many changes in a
+	// row come in few answers.
+	Pause time.Duration
 }
 
 // Watcher keeps one space up to date from the platform, for as long as this
@@ -131,6 +134,9 @@
 			started = true
 			close(w.first)
 		}
+		if next > after && w.options.Pause > 0 {
+			sleep(ctx, w.options.Pause)
+		}
 		after, backoff = next, backoffFirst
 	}
 }
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -225,6 +225,9 @@
 	if g.depth[i] == 1 && g.job.route.Stages[i].ResultBytes >= largeResult {
 		return g.zone
 	}
+	if g.inputBytes(i) < largeResult {
+		return ""
+	}
 	var largest int64
 	zone := ""
 	for _, before := range g.job.route.Stages[i].After {
--- a/internal/stagepool/group.go
+++ b/internal/stagepool/group.go
@@ -41,6 +41,11 @@
 	aliveFor   = 150 * time.Millisecond
 	// ownersTried bounds how many hosts are asked before this one acts itself.
 	ownersTried = 2
+	// zoneWait is how much longer work waits in its zone before it leaves it,
+	// about one call.
+	zoneWait = 250 * time.Millisecond
+	// waitFor is how long what a pool said of its waiting work is believed.
+	waitFor = time.Second
 )
 
 var errSilent = errors.New("stagepool: the owner does not answer")
@@ -57,6 +62,8 @@
 	specs map[string]Spec
 	// servers has the servers of each service.
 	servers map[string][]Server
+	// waits has how long work waits at shards, as their owners said last.
+	waits map[string]waited
 }
 
 // New returns a group whose calls end with ctx.
@@ -67,6 +74,7 @@
 		pools:   make(map[string]*Pool),
 		specs:   make(map[string]Spec),
 		servers: make(map[string][]Server),
+		waits:   make(map[string]waited),
 	}
 }
 
@@ -87,17 +95,52 @@
 }
 
 // shard names the servers of a service that one host owns together: all of
-// them, or those of one zone where there are many. Work without a zone goes to
-// the zones by their servers. The mutex must be held.
-func (g *Group) shard(service, zone, request string) string {
-	servers := g.servers[service]
+// them, or those of one zone where there are many. Work that is not tied to a
+// zone goes to the zones by their servers, to the one of two where it waits
+// less; work that is leaves its zone only where it would wait far longer. The
+// mutex must be held.
+func (g *Group) shard(w Work) string {
+	servers := g.servers[w.Service]
 	if len(servers) <= shardSize {
-		return service
+		return w.Service
 	}
-	if len(inZone(servers, zone)) == 0 || zone == "" {
-		zone = servers[xxhash.Sum64String(request)%uint64(len(servers))].Zone
+	hash := xxhash.Sum64String(w.Request)
+	count := uint64(len(servers))
+	first := w.Service + "/" + servers[hash%count].Zone
+	second := w.Service + "/" + servers[hash/count%count].Zone
+	if w.Zone == "" || len(inZone(servers, w.Zone)) == 0 {
+		if g.wait(second) < g.wait(first) {
+			return second
+		}
+		return first
+	}
+	home := w.Service + "/" + w.Zone
+	if g.wait(first)+zoneWait < g.wait(home) {
+		return first
+	}
+	return home
+}
+
+// wait is how long new work waits at a shard, as far as is known.
+func (g *Group) wait(shard string) time.Duration {
+	w := g.waits[shard]
+	age := time.Since(w.at)
+	if w.at.IsZero() || age > waitFor {
+		return 0
 	}
-	return service + "/" + zone
+	return w.wait
+}
+
+func (g *Group) noteWait(shard string, wait time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.waits[shard] = waited{wait: wait, at: time.Now()}
+}
+
+// waited is how long new work waits somewhere, as of a moment.
+type waited struct {
+	wait time.Duration
+	at   time.Time
 }
 
 func splitShard(key string) (service, zone string) {
@@ -154,11 +197,12 @@
 // answers, and in the end by this host itself.
 func (g *Group) Run(ctx context.Context, w Work) Answer {
 	g.mu.Lock()
-	shard := g.shard(w.Service, w.Zone, w.Request)
+	shard := g.shard(w)
 	g.mu.Unlock()
 	for _, p := range g.options.Owners.Others(shard, ownersTried) {
-		answer, err := g.ask(ctx, p, w)
+		answer, err := g.ask(ctx, p, shard, w)
 		if err == nil {
+			g.noteWait(shard, answer.Wait)
 			return answer
 		}
 		if ctx.Err() != nil {
@@ -169,7 +213,9 @@
 		g.options.Log.WithError(err).WithFields(logrus.Fields{"peer": p.Address, "pool": shard, "request": w.Request}).
 			Warn("the owner of a stage pool failed; asking the next")
 	}
-	return g.runHere(ctx, shard, w)
+	answer := g.runHere(ctx, shard, w)
+	g.noteWait(shard, answer.Wait)
+	return answer
 }
 
 func (g *Group) runHere(ctx context.Context, shard string, w Work) Answer {
@@ -182,13 +228,13 @@
 }
 
 // ask hands w to another host, and gives up on it when it stands still.
-func (g *Group) ask(ctx context.Context, p owner.Peer, w Work) (Answer, error) {
+func (g *Group) ask(ctx context.Context, p owner.Peer, shard string, w Work) (Answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	client := stagepb.NewStagesProtobufClient("http://"+p.Control.String(), g.options.HTTP)
 	watch := time.AfterFunc(aliveAfter, func() { g.watch(ctx, client, cancel) })
 	defer watch.Stop()
-	reply, err := client.Run(ctx, requestMessage(time.Now(), w))
+	reply, err := client.Run(ctx, requestMessage(time.Now(), shard, w))
 	if err != nil {
 		return Answer{}, err
 	}
@@ -235,7 +281,10 @@
 	byShard := make(map[string][]Result)
 	g.mu.Lock()
 	for zone, part := range byZone {
-		shard := g.shard(service, zone, part[0].Handle)
+		shard := service
+		if len(g.servers[service]) > shardSize {
+			shard += "/" + zone
+		}
 		byShard[shard] = append(byShard[shard], part...)
 	}
 	g.mu.Unlock()
--- a/internal/stagepool/service.go
+++ b/internal/stagepool/service.go
@@ -32,10 +32,7 @@
 	if len(w.Pieces) == 0 || len(w.Pieces) > piecesMost {
 		return nil, twirp.InvalidArgumentError("pieces", "want 1 to 4096")
 	}
-	s.g.mu.Lock()
-	shard := s.g.shard(w.Service, w.Zone, w.Request)
-	s.g.mu.Unlock()
-	a := s.g.runHere(ctx, shard, w)
+	a := s.g.runHere(ctx, in.GetShard(), w)
 	return &stagepb.RunReply{Results: resultMessages(a.Results), Failure: string(a.Failure), WaitMs: a.Wait.Milliseconds()}, nil
 }
 
@@ -56,7 +53,7 @@
 	return &stagepb.ReleaseReply{}, nil
 }
 
-func requestMessage(now time.Time, w Work) *stagepb.RunRequest {
+func requestMessage(now time.Time, shard string, w Work) *stagepb.RunRequest {
 	m := &stagepb.RunRequest{
 		Service:     w.Service,
 		Request:     w.Request,
@@ -71,6 +68,7 @@
 		Priority:    int32(w.Priority),
 		ResultBytes: w.ResultBytes,
 		InputBytes:  w.InputBytes,
+		Shard:       shard,
 	}
 	for _, p := range w.Pieces {
 		m.Pieces = append(m.Pieces, &stagepb.Piece{Index: int32(p)})
