internal/stagepool, relay: work that holds room is never put off

Change: tasks with heavy inputs do not count as late; what is late leaves a margin of 60 ms and is judged by the pool's own call times; slow servers take, from the end of the order, what would wait longer for the quick ones; a request is refused only when it could not begin at idle pools; later stages' waits are not taken off a stage's time.

--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -59,6 +59,8 @@
 type waited struct {
 	wait time.Duration
 	at   time.Time
+	// call is how long a call takes; it does not fade.
+	call time.Duration
 }
 
 // New returns a core that knows neither a configuration nor servers.
@@ -106,10 +108,20 @@
 	waitHalf = 300 * time.Millisecond
 )
 
-func (c *Core) noteWait(service string, wait time.Duration) {
+func (c *Core) noteWait(service string, wait, call time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waits[service] = waited{wait: wait, at: time.Now()}
+	if call == 0 {
+		call = c.waits[service].call
+	}
+	c.waits[service] = waited{wait: wait, at: time.Now(), call: call}
+}
+
+// call is how long a call of a stage service takes, 0 where that is not known.
+func (c *Core) call(service string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waits[service].call
 }
 
 // wait is how long new work of a stage service waits, as far as is known.
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -112,7 +112,7 @@
 	if !g.needed() {
 		return nil
 	}
-	if need := g.estimate(len(j.route.Stages)) + expectedRead(j.Request); time.Until(j.firstBy) < need {
+	if need := g.least(len(j.route.Stages)) + expectedRead(j.Request); time.Until(j.firstBy) < need {
 		return j.refuse(verdict.ReasonDeadline, g.waits(), "%v left to begin, %v needed", time.Until(j.firstBy).Round(time.Millisecond), need)
 	}
 	began := time.Now()
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -15,9 +15,12 @@
 )
 
 const (
-	// stageFactor times the time of an empty call is what a stage takes with
-	// its pieces and its wait, as measured on a calm day.
-	stageFactor = 1.5
+	// stageFactor times the time of an empty call is what a call takes with its
+	// pieces, until its pool has said.
+	stageFactor = 1.4
+	// stageTurn is what a stage takes beside its call and the queue: the ways,
+	// and the wait for a server's turn.
+	stageTurn = 30 * time.Millisecond
 	// largeResult is the size from which a stage beside a longer chain is
 	// begun late, so that its results do not take up room while they wait.
 	largeResult = 256 << 10
@@ -71,12 +74,22 @@
 
 // estimate is how long the stages take from one of that depth to the end.
 func (g *graph) estimate(depth int) time.Duration {
+	return g.longest(depth, g.job.stageTime)
+}
+
+// least is how long they take at idle pools.
+func (g *graph) least(depth int) time.Duration {
+	return g.longest(depth, g.job.emptyCall)
+}
+
+// longest adds up the longest time of each depth.
+func (g *graph) longest(depth int, timeOf func(service string) time.Duration) time.Duration {
 	longest := make(map[int]time.Duration)
 	for i, stage := range g.job.route.Stages {
 		if g.job.pieces(i) == 0 || g.depth[i] > depth {
 			continue
 		}
-		longest[g.depth[i]] = max(longest[g.depth[i]], g.job.stageTime(stage.Service))
+		longest[g.depth[i]] = max(longest[g.depth[i]], timeOf(stage.Service))
 	}
 	var total time.Duration
 	for _, t := range longest {
@@ -96,13 +109,27 @@
 	return longest
 }
 
-// stageTime is how long one stage of a service takes.
+// emptyCall is how long the shortest call of a service takes.
+func (j *job) emptyCall(service string) time.Duration {
+	s := j.catalog.Service(service)
+	if s == nil || s.Batch == nil {
+		return 0
+	}
+	return s.Batch.CallTime
+}
+
+// stageTime is how long one stage of a service takes that is next in its queue:
+// the less time is left, the sooner a stage's turn comes.
 func (j *job) stageTime(service string) time.Duration {
 	s := j.catalog.Service(service)
 	if s == nil || s.Batch == nil {
 		return 0
 	}
-	return time.Duration(stageFactor*float64(s.Batch.CallTime)) + j.core.wait(service)
+	call := j.core.call(service)
+	if call == 0 {
+		call = time.Duration(stageFactor * float64(s.Batch.CallTime))
+	}
+	return call + stageTurn
 }
 
 // run makes all pieces, each stage as soon as those before it have ended, but
@@ -140,7 +167,7 @@
 		running--
 		ended[end.stage] = true
 		g.results[end.stage] = end.answer.Results
-		g.job.core.noteWait(stages[end.stage].Service, end.answer.Wait)
+		g.job.core.noteWait(stages[end.stage].Service, end.answer.Wait, end.answer.Call)
 		if end.answer.Failure != "" && failed == nil {
 			failed = g.failure(ctx, end)
 			cancel()
@@ -190,7 +217,7 @@
 		Workspace:   j.workspace.Name,
 		Route:       j.route.Name,
 		Latest:      j.objective.Add(-after),
-		Deadline:    j.firstBy.Add(-after / 2),
+		Deadline:    j.firstBy.Add(-g.least(g.depth[i]-1) - expectedRead(j.Request)),
 		Priority:    j.priority(),
 		ResultBytes: stage.ResultBytes,
 		InputBytes:  g.inputBytes(i),
--- a/internal/stagepool/group.go
+++ b/internal/stagepool/group.go
@@ -187,8 +187,10 @@
 type Answer struct {
 	Results []Result
 	Failure Failure
-	// Wait is how long new work waits at the pool.
+	// Wait is how long new work waits at the pool, Call how long its calls
+	// take; 0 is not known.
 	Wait time.Duration
+	Call time.Duration
 	// Owner is the host that made the calls.
 	Owner netip.AddrPort
 }
@@ -224,7 +226,8 @@
 		return Answer{Failure: FailureFailed}
 	}
 	results, failure := pool.run(ctx, w)
-	return Answer{Results: results, Failure: failure, Wait: pool.wait(), Owner: g.options.Self}
+	wait, call := pool.times()
+	return Answer{Results: results, Failure: failure, Wait: wait, Call: call, Owner: g.options.Self}
 }
 
 // ask hands w to another host, and gives up on it when it stands still.
@@ -249,6 +252,7 @@
 		Results: results,
 		Failure: Failure(reply.GetFailure()),
 		Wait:    time.Duration(reply.GetWaitMs()) * time.Millisecond,
+		Call:    time.Duration(reply.GetCallMs()) * time.Millisecond,
 		Owner:   p.Address,
 	}, nil
 }
--- a/internal/stagepool/pool.go
+++ b/internal/stagepool/pool.go
@@ -76,11 +76,11 @@
 	p.kick()
 }
 
-// wait returns how long new work waits, roughly.
-func (p *Pool) wait() time.Duration {
+// times returns how long new work waits, and how long calls take, roughly.
+func (p *Pool) times() (wait, call time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.scheduler.wait(time.Now())
+	return p.scheduler.wait(time.Now()), p.scheduler.callTime()
 }
 
 // run makes the pieces of w and returns a result for each, or why there is
--- a/internal/stagepool/scheduler.go
+++ b/internal/stagepool/scheduler.go
@@ -37,6 +37,12 @@
 	// priorityTime is how much later a task may be due to go before one of the
 	// next lower priority.
 	priorityTime = 700 * time.Millisecond
+	// lateMargin is kept between the end of a call and the moment by which it
+	// must have ended, for the ways and the next call's turn; without it, a
+	// crowded pool serves everybody just too late.
+	lateMargin = 60 * time.Millisecond
+	// latelyWeight is how many calls the average time of calls comes from.
+	latelyWeight = 8
 	// factorFade is the half-life of a server's slowness, so that one that got
 	// well is tried again.
 	factorFade = 3 * time.Second
@@ -123,6 +129,8 @@
 	servers map[netip.AddrPort]*serverState
 	// waiting has the tasks with pending pieces.
 	waiting []*task
+	// lately is the average time of the last calls, as their pieces have it.
+	lately time.Duration
 }
 
 func newScheduler(spec Spec) *scheduler {
@@ -193,14 +201,20 @@
 	return s.spec.CallTime + time.Duration(pieces)*s.spec.PieceTime
 }
 
-// wait is how long new work waits for the start of its call, roughly.
+// wait is how long new work that can be in time waits for the start of its
+// call, roughly: what is late already goes after it.
 func (s *scheduler) wait(now time.Time) time.Duration {
 	usable := s.usable(now)
 	if len(usable) == 0 {
 		return s.spec.CallTime
 	}
-	calls := float64(s.pieces()) / float64(s.spec.Size)
-	rounds := calls / float64(len(usable)*s.spec.Slots)
+	pieces := 0
+	for _, t := range s.waiting {
+		if !s.late(now, t) {
+			pieces += len(t.pending)
+		}
+	}
+	rounds := float64(pieces) / float64(s.spec.Size*len(usable)*s.spec.Slots)
 	busy := 0
 	for _, state := range usable {
 		busy += len(state.running)
@@ -208,7 +222,25 @@
 	if busy >= len(usable)*s.spec.Slots {
 		rounds += 0.5 / float64(len(usable))
 	}
-	return time.Duration(rounds * float64(s.spec.CallTime+time.Duration(s.spec.Size)*s.spec.PieceTime))
+	return time.Duration(rounds * float64(s.even(s.spec.Size)))
+}
+
+// callTime is how long calls take lately.
+func (s *scheduler) callTime() time.Duration {
+	if s.lately == 0 {
+		return s.even(s.spec.Size / 2)
+	}
+	return s.lately
+}
+
+// late reports whether a task that starts now cannot end in time. One with
+// heavy inputs never counts as late: while it waits, its inputs take up room,
+// and the pool that made them comes to a stand.
+func (s *scheduler) late(now time.Time, t *task) bool {
+	if t.InputBytes >= heavyBytes {
+		return false
+	}
+	return now.Add(s.callTime() + lateMargin).After(t.Latest)
 }
 
 // fade lets a server's slowness be forgotten.
@@ -245,23 +277,45 @@
 		return nil
 	}
 	usable := s.usable(now)
-	var free []*serverState
+	var free, slow []*serverState
+	zones := make(map[string]bool)
 	for _, state := range usable {
-		if len(state.running) < s.spec.Slots && state.factor <= usable[0].factor*slowFactor {
+		zones[state.Zone] = true
+		switch {
+		case len(state.running) >= s.spec.Slots:
+		case state.factor > usable[0].factor*slowFactor:
+			slow = append(slow, state)
+		default:
 			free = append(free, state)
 		}
 	}
-	if len(free) == 0 {
+	if len(free)+len(slow) == 0 {
 		return nil
 	}
 	s.order(now)
-	zones := make(map[string]bool)
-	for _, state := range usable {
-		zones[state.Zone] = true
+	if len(free) > 0 {
+		most := min((s.pieces()+len(free)-1)/len(free), s.spec.Size)
+		for _, state := range free {
+			if b := s.fill(now, state, max(most, 1), zones); b != nil {
+				return b
+			}
+		}
 	}
-	most := min((s.pieces()+len(free)-1)/len(free), s.spec.Size)
-	for _, state := range free {
-		if b := s.fill(now, state, max(most, 1), zones); b != nil {
+	return s.fillSlow(now, slow, len(usable)-len(slow), zones)
+}
+
+// fillSlow gives a slow server what would wait longer for the quick ones than
+// it takes there, from the end of the order.
+func (s *scheduler) fillSlow(now time.Time, slow []*serverState, quick int, zones map[string]bool) *batch {
+	for _, state := range slow {
+		rounds := float64(s.pieces()) / float64(s.spec.Size*max(quick, 1))
+		if time.Duration(rounds*float64(s.even(s.spec.Size))) < s.expected(state, s.spec.Size) {
+			continue
+		}
+		slices.Reverse(s.waiting)
+		b := s.fill(now, state, s.spec.Size, zones)
+		slices.Reverse(s.waiting)
+		if b != nil {
 			return b
 		}
 	}
@@ -271,9 +325,8 @@
 // order puts first what can still keep its objective, and there what must end
 // first.
 func (s *scheduler) order(now time.Time) {
-	soon := now.Add(s.spec.CallTime)
 	slices.SortStableFunc(s.waiting, func(a, b *task) int {
-		lateA, lateB := soon.After(a.Latest), soon.After(b.Latest)
+		lateA, lateB := s.late(now, a), s.late(now, b)
 		if lateA != lateB {
 			if lateA {
 				return 1
@@ -306,6 +359,8 @@
 	}
 	s.waiting = slices.DeleteFunc(s.waiting, func(t *task) bool { return len(t.pending) == 0 })
 	b.expected = s.expected(state, len(b.items))
+	even := s.even(len(b.items))
+	s.lately = s.callTime() + (even-s.callTime())/latelyWeight
 	state.used += b.bytes
 	state.running = append(state.running, b)
 	return b
--- a/internal/stagepool/service.go
+++ b/internal/stagepool/service.go
@@ -33,7 +33,9 @@
 		return nil, twirp.InvalidArgumentError("pieces", "want 1 to 4096")
 	}
 	a := s.g.runHere(ctx, in.GetShard(), w)
-	return &stagepb.RunReply{Results: resultMessages(a.Results), Failure: string(a.Failure), WaitMs: a.Wait.Milliseconds()}, nil
+	return &stagepb.RunReply{
+		Results: resultMessages(a.Results), Failure: string(a.Failure), WaitMs: a.Wait.Milliseconds(), CallMs: a.Call.Milliseconds(),
+	}, nil
 }
 
 // Alive answers.
