--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -93,19 +93,32 @@
 	return failed
 }
 
-// awaitGateway acts on signals until the process ends.
-func awaitGateway(p *platform.Process, path string, s settings.Gateway, cancel context.CancelFunc, log logrus.FieldLogger) {
+// settingsEvery is how often the settings file is looked at: it may change
+// without a signal.
+const settingsEvery = 2 * time.Second
+
+// awaitGateway acts on signals and changed settings until the process ends.
+func awaitGateway(p *platform.Process, path string, s settings.Gateway, cancel context.CancelFunc, log *logrus.Logger) {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	changed := modified(path)
 	stopping := false
 	for {
 		select {
 		case <-p.Done():
 			return
+		case <-ticker.C:
+			if at := modified(path); !at.Equal(changed) {
+				changed = at
+				s = reload(p, path, s, log)
+			}
 		case received := <-signals:
 			log.WithField("signal", received.String()).Info("signal")
 			if received == syscall.SIGHUP {
-				reload(path, s, log)
+				changed = modified(path)
+				s = reload(p, path, s, log)
 				continue
 			}
 			if stopping {
@@ -118,13 +131,27 @@
 	}
 }
 
-// reload reads the settings again. Addresses cannot change while the process
-// runs; a file that is wrong leaves the old settings in force.
-func reload(path string, old settings.Gateway, log logrus.FieldLogger) {
+// modified returns when the file last changed, the zero time where that cannot
+// be told.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reload reads the settings again and returns those in force. A file that is
+// wrong leaves the old ones in force; what cannot change while the process runs
+// is logged.
+func reload(p *platform.Process, path string, old settings.Gateway, log *logrus.Logger) settings.Gateway {
 	s, err := settings.LoadGateway(path)
 	if err != nil {
 		log.WithError(err).Warn("settings not taken; the old ones stay in force")
-		return
+		return old
 	}
-	log.WithField("changed", s.Callers != old.Callers || s.Peer != old.Peer).Info("settings read again")
+	log.SetLevel(s.LogLevel)
+	p.Reload(s)
+	log.WithField("restart_needed", s.NeedsRestart(old)).Info("settings read again")
+	return s
 }
--- /dev/null
+++ b/internal/enginepool/book_test.go
@@ -0,0 +1,115 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package enginepool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/enginepool"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func engines(count int) []enginepool.Engine {
+	var list []enginepool.Engine
+	for i := range count {
+		list = append(list, enginepool.Engine{Instance: fmt.Sprintf("e%d", i), Zone: string(rune('a' + i%3))})
+	}
+	return list
+}
+
+func prompt(key uint64) enginepool.Prompt {
+	return enginepool.Prompt{First: key, Shared: key, FirstTokens: 13000, SharedTokens: 13000, OwnTokens: 3000}
+}
+
+func TestAPromptGoesWhereItsSharedPartsAre(t *testing.T) {
+	b := enginepool.NewBook(engines(18)...)
+	now := start
+	for key := range uint64(30) {
+		first := b.Place(now, prompt(key+1))
+		now = now.Add(400 * time.Millisecond)
+		second := b.Place(now, prompt(key+1))
+		assert.Equal(t, second.Instance, first.Instance, "key %d", key)
+		assert.Assert(t, second.Expected < first.Expected, "the shared part is not read again")
+		now = now.Add(400 * time.Millisecond)
+	}
+}
+
+func TestAHotPromptSpreadsOnceItsHomeIsBehind(t *testing.T) {
+	b := enginepool.NewBook(engines(18)...)
+	used := make(map[string]int)
+	for range 40 {
+		used[b.Place(start, prompt(1)).Instance]++
+	}
+	assert.Assert(t, len(used) >= 2, "40 prompts at once stay at %v", used)
+	now := start.Add(time.Minute)
+	assert.Equal(t, b.Place(now, prompt(2)).Wait, time.Duration(0))
+}
+
+func TestANewOwnerFindsTheHomes(t *testing.T) {
+	old, young := enginepool.NewBook(engines(18)...), enginepool.NewBook(engines(18)...)
+	same := 0
+	for key := range uint64(60) {
+		now := start.Add(time.Duration(key) * time.Second)
+		if old.Place(now, prompt(key+1)).Instance == young.Place(now, prompt(key+1)).Instance {
+			same++
+		}
+	}
+	assert.Equal(t, same, 60)
+}
+
+func TestLeavingExceptedAndFailingEnginesArePassedOver(t *testing.T) {
+	list := engines(3)
+	b := enginepool.NewBook(list...)
+	home := b.Place(start, prompt(1)).Instance
+	p := prompt(1)
+	p.Except = []string{home}
+	assert.Assert(t, b.Place(start, p).Instance != home)
+	for i := range list {
+		list[i].Leaving = list[i].Instance == home
+	}
+	b.SetEngines(list...)
+	second := b.Place(start, prompt(1)).Instance
+	assert.Assert(t, second != home)
+	for range 3 {
+		b.Report(start, enginepool.Report{Instance: second, Failed: true})
+	}
+	third := b.Place(start, prompt(1)).Instance
+	assert.Assert(t, third != home && third != second)
+	for i := range list {
+		list[i].Leaving = true
+	}
+	b.SetEngines(list...)
+	assert.Equal(t, b.Place(start, prompt(1)).Instance, "", "there is no engine left")
+}
+
+func TestASlowEngineLosesItsPrompts(t *testing.T) {
+	b := enginepool.NewBook(engines(4)...)
+	home := b.Place(start, prompt(1)).Instance
+	now := start.Add(time.Second)
+	for range 10 {
+		b.Report(now, enginepool.Report{Instance: home, First: 9 * time.Second, Expected: 200 * time.Millisecond})
+	}
+	assert.Assert(t, b.Place(now, prompt(1)).Instance != home)
+}
+
+func TestLargeInputsDrawAPromptToTheirZone(t *testing.T) {
+	b := enginepool.NewBook(engines(9)...)
+	for key := range uint64(9) {
+		p := enginepool.Prompt{OwnTokens: 1000, Zone: "b", InputBytes: 9e6}
+		p.First = key
+		place := b.Place(start.Add(time.Duration(key)*time.Second), p)
+		assert.Assert(t, place.Instance == "e1" || place.Instance == "e4" || place.Instance == "e7", "got %s", place.Instance)
+	}
+}
+
+func TestReadTimeGrowsWithWhatIsKept(t *testing.T) {
+	alone := enginepool.ReadTime(0, 6000)
+	assert.Assert(t, alone > 100*time.Millisecond && alone < 120*time.Millisecond, "%v", alone)
+	assert.Assert(t, enginepool.ReadTime(30000, 6000) > alone)
+}
--- /dev/null
+++ b/internal/gateway/dump.go
@@ -0,0 +1,62 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"time"
+
+	"github.com/wingvale/wingvale/internal/fleet"
+	"github.com/wingvale/wingvale/internal/published"
+	"github.com/wingvale/wingvale/internal/relay"
+	"github.com/wingvale/wingvale/internal/settings"
+	"github.com/wingvale/wingvale/internal/stagepool"
+)
+
+// dumpKeys bounds the keys of each published space in a dump.
+const dumpKeys = 200
+
+// Dump is what a node knows, for people.
+type Dump struct {
+	Node          string                     `json:"node"`
+	Zone          string                     `json:"zone"`
+	Up            string                     `json:"up"`
+	Ready         bool                       `json:"ready"`
+	Leaving       bool                       `json:"leaving"`
+	InFlight      int64                      `json:"in_flight"`
+	Version       uint64                     `json:"configuration_version"`
+	Configuration published.State            `json:"configuration"`
+	Listed        published.State            `json:"listed"`
+	Members       []fleet.Member             `json:"members"`
+	Servers       []relay.ServerState        `json:"servers"`
+	Pools         map[string]stagepool.State `json:"pools"`
+	Connections   int64                      `json:"connections_opened"`
+}
+
+// Dump returns what the node knows now.
+func (n *Node) Dump() Dump {
+	d := Dump{
+		Node:          n.settings.Callers.String(),
+		Zone:          n.settings.Zone,
+		Up:            time.Since(n.start).Round(time.Millisecond).String(),
+		Ready:         n.Ready(),
+		Leaving:       n.Leaving(),
+		InFlight:      n.InFlight(),
+		Configuration: n.configuration.State(dumpKeys),
+		Listed:        n.listed.State(dumpKeys),
+		Members:       n.view.Members(),
+		Servers:       n.core.Servers(),
+		Pools:         n.stages.State(),
+		Connections:   n.backends.Opened(),
+	}
+	if catalog := n.core.Catalog(); catalog != nil {
+		d.Version = catalog.Version
+	}
+	return d
+}
+
+// Reload takes over what may change while the node runs: the bounds on
+// retries. Addresses, the zone and the seeds stay until the next start.
+func (n *Node) Reload(s settings.Gateway) {
+	n.core.SetRetries(s.RetryShare, s.RetryReserve, s.RetryWindow)
+}
--- /dev/null
+++ b/internal/gateway/export_test.go
@@ -0,0 +1,36 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wingvale/wingvale/internal/relay"
+)
+
+// Members lets tests drive the list of backend servers.
+type Members struct{ m *members }
+
+// NewMembers returns an empty list.
+func NewMembers() Members { return Members{m: newMembers()} }
+
+// Lost and Regained note an outage of the publisher.
+func (m Members) Lost(now time.Time) { m.m.lost(now) }
+
+// Regained notes its end.
+func (m Members) Regained(now time.Time) { m.m.regained(now) }
+
+// Due reports whether a server is to be let go.
+func (m Members) Due(now time.Time) bool { return m.m.due(now) }
+
+// Merge returns the names of the servers to use.
+func (m Members) Merge(now time.Time, listed map[string]relay.Server, log logrus.FieldLogger) []string {
+	var names []string
+	for _, s := range m.m.merge(now, listed, log) {
+		names = append(names, s.Instance)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/gateway/members_test.go
@@ -0,0 +1,67 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway_test
+
+import (
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/gateway"
+	"github.com/wingvale/wingvale/internal/relay"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func listed(names ...string) map[string]relay.Server {
+	servers := make(map[string]relay.Server)
+	for i, name := range names {
+		servers["servers/"+name] = relay.Server{Instance: name, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)}
+	}
+	return servers
+}
+
+func quiet() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func TestARemovedServerIsGoneAtOnce(t *testing.T) {
+	m := gateway.NewMembers()
+	assert.Equal(t, len(m.Merge(start, listed("a", "b"), quiet())), 2)
+	assert.DeepEqual(t, m.Merge(start, listed("a"), quiet()), []string{"a"})
+}
+
+func TestWhatLapsedInAnOutageIsKeptForAWhile(t *testing.T) {
+	m := gateway.NewMembers()
+	m.Merge(start, listed("a", "b", "c"), quiet())
+	m.Lost(start)
+	back := start.Add(5 * time.Second)
+	m.Regained(back)
+	assert.Equal(t, len(m.Merge(back, listed("a"), quiet())), 3, "b and c lapsed")
+	now := back.Add(time.Second)
+	assert.Assert(t, !m.Due(now))
+	assert.Equal(t, len(m.Merge(now, listed("a", "b"), quiet())), 3, "b is back")
+	now = back.Add(1900 * time.Millisecond)
+	assert.Assert(t, m.Due(now))
+	assert.DeepEqual(t, m.Merge(now, listed("a", "b"), quiet()), []string{"a", "b"})
+	assert.DeepEqual(t, m.Merge(back.Add(10*time.Second), listed("a"), quiet()), []string{"a"})
+}
+
+func TestALeavingServerThatLapsesIsGone(t *testing.T) {
+	m := gateway.NewMembers()
+	servers := listed("a")
+	s := servers["servers/a"]
+	s.Leaving = true
+	servers["servers/a"] = s
+	m.Merge(start, servers, quiet())
+	m.Lost(start)
+	m.Regained(start)
+	assert.Equal(t, len(m.Merge(start, nil, quiet())), 0)
+}
--- /dev/null
+++ b/internal/logging/writer_test.go
@@ -0,0 +1,67 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package logging_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/logging"
+)
+
+// reader takes lines only while it is not stopped.
+type reader struct {
+	mu   sync.Mutex
+	gate chan struct{}
+	got  bytes.Buffer
+}
+
+func (r *reader) Write(line []byte) (int, error) {
+	<-r.gate
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.got.Write(line)
+}
+
+func TestAReaderThatStandsStillHoldsNobodyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &reader{gate: make(chan struct{})}
+		w := logging.NewWriter(r, 8)
+		for range 1000 {
+			n, err := w.Write([]byte("line\n"))
+			assert.NilError(t, err)
+			assert.Equal(t, n, 5)
+		}
+		synctest.Wait()
+		assert.Assert(t, w.Dropped() >= 980, "dropped %d", w.Dropped())
+		close(r.gate)
+		w.Close()
+		<-w.Done()
+		got := r.got.String()
+		assert.Equal(t, int64(strings.Count(got, "line\n"))+w.Dropped(), int64(1000))
+		assert.Assert(t, strings.Contains(got, `"msg":"log lines dropped","lines":9`), "the loss is told: %q", got)
+		_, err := w.Write([]byte("after the end"))
+		assert.NilError(t, err)
+	})
+}
+
+func TestLinesComeInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		w := logging.NewWriter(&out, 8)
+		for _, line := range []string{"a\n", "b\n", "c\n"} {
+			_, err := w.Write([]byte(line))
+			assert.NilError(t, err)
+		}
+		w.Close()
+		<-w.Done()
+		assert.Equal(t, out.String(), "a\nb\nc\n")
+		assert.Equal(t, w.Dropped(), int64(0))
+	})
+}
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -56,6 +56,9 @@
 	waits map[string]waited
 }
 
+// latencies are the buckets of the histograms: 5 ms to 20 s.
+var latencies = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.6, 18)
+
 type waited struct {
 	wait time.Duration
 	at   time.Time
@@ -96,6 +99,11 @@
 	return c.servers.state()
 }
 
+// SetRetries changes the bounds on retries.
+func (c *Core) SetRetries(share, reserve float64, window time.Duration) {
+	c.retries.set(share, reserve, window)
+}
+
 // chance returns a number in [0, 1).
 func (c *Core) chance() float64 {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/relay/export_test.go
@@ -0,0 +1,35 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package relay
+
+import "time"
+
+// Splitter cuts a stream after whole events.
+type Splitter struct{ s splitter }
+
+// Add takes bytes and returns whole events.
+func (s *Splitter) Add(part string) string { return string(s.s.add([]byte(part))) }
+
+// Last returns the id of the last whole event, and Rest what follows it.
+func (s *Splitter) Last() string { return s.s.last }
+
+// Rest returns what is held back.
+func (s *Splitter) Rest() string { return string(s.s.rest) }
+
+// Retries bounds retries.
+type Retries struct{ r *retries }
+
+// NewRetries returns bounds for so many hosts.
+func NewRetries(share, reserve float64, window time.Duration, hosts int) Retries {
+	return Retries{r: newRetries(share, reserve, window, func() int { return hosts })}
+}
+
+// First notes a request.
+func (r Retries) First() { r.r.first("s") }
+
+// Take takes a retry.
+func (r Retries) Take() bool { return r.r.take("s") }
+
+// TargetOf picks a route's service.
+func TargetOf(r Route, point float64) string { return r.target(point) }
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,96 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package relay_test
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/relay"
+)
+
+func TestTheSplitterKeepsWholeEvents(t *testing.T) {
+	const stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: no id\n\nid: 3\ndata: half"
+	for size := 1; size <= len(stream); size++ {
+		var s relay.Splitter
+		var got strings.Builder
+		for rest := stream; rest != ""; {
+			n := min(size, len(rest))
+			got.WriteString(s.Add(rest[:n]))
+			rest = rest[n:]
+		}
+		assert.Equal(t, got.String(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: no id\n\n", "in parts of %d", size)
+		assert.Equal(t, s.Last(), "2")
+		assert.Equal(t, s.Rest(), "id: 3\ndata: half")
+	}
+}
+
+func FuzzSplitter(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2", 3)
+	f.Fuzz(func(t *testing.T, stream string, size int) {
+		var s relay.Splitter
+		var got strings.Builder
+		for rest := stream; rest != ""; {
+			n := min(max(size, 1), len(rest))
+			got.WriteString(s.Add(rest[:n]))
+			rest = rest[n:]
+		}
+		if got.String()+s.Rest() != stream {
+			t.Fatalf("%q became %q and %q", stream, got.String(), s.Rest())
+		}
+	})
+}
+
+// In any window, all hosts together stay within the share of the requests and
+// the reserve.
+func TestRetriesOfAllHostsStayWithinTheirBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			hosts   = 9
+			share   = 0.2
+			reserve = 58.0
+			window  = 10 * time.Second
+			tick    = 50 * time.Millisecond
+		)
+		var all []relay.Retries
+		for range hosts {
+			all = append(all, relay.NewRetries(share, reserve, window, hosts))
+		}
+		var requests, taken []int
+		for second := range 1200 {
+			count := 0
+			for _, r := range all {
+				for range second % 3 {
+					r.First()
+				}
+				for r.Take() {
+					count++
+				}
+			}
+			requests, taken = append(requests, hosts*(second%3)), append(taken, count)
+			time.Sleep(tick)
+		}
+		span := int(window / tick)
+		for from := range len(taken) - span {
+			asked, again := 0, 0
+			for i := from; i < from+span; i++ {
+				asked += requests[i]
+				again += taken[i]
+			}
+			assert.Assert(t, float64(again) <= share*float64(asked)+reserve, "%d retries for %d requests", again, asked)
+		}
+	})
+}
+
+func TestTargetsAreWeighed(t *testing.T) {
+	r := relay.Route{Targets: []relay.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	assert.Equal(t, relay.TargetOf(r, 0), "a")
+	assert.Equal(t, relay.TargetOf(r, 0.89), "a")
+	assert.Equal(t, relay.TargetOf(r, 0.95), "b")
+	assert.Equal(t, relay.TargetOf(r, 0.9999), "b")
+}
--- a/internal/relay/retries.go
+++ b/internal/relay/retries.go
@@ -20,12 +20,12 @@
 // retries keeps the retries of all hosts together within what is allowed,
 // without asking: each host spends its part.
 type retries struct {
+	hosts func() int
+
+	mu      sync.Mutex
 	share   float64
 	reserve float64
 	window  time.Duration
-	hosts   func() int
-
-	mu sync.Mutex
 	// buckets has one for each service.
 	buckets map[string]*bucket
 }
@@ -40,6 +40,13 @@
 	return &retries{share: share, reserve: reserve, window: window, hosts: hosts, buckets: make(map[string]*bucket)}
 }
 
+// set changes the bounds.
+func (r *retries) set(share, reserve float64, window time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.share, r.reserve, r.window = share, reserve, window
+}
+
 // of returns a service's bucket, filled up to now. A window sees at most what
 // was there at its start and what came in: both halves of the reserve.
 func (r *retries) of(service string) *bucket {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -184,7 +184,9 @@
 		fields["error"] = err.Error()
 	}
 	fields["outcome"] = outcome
-	c.scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests").Inc(1)
+	tagged := c.scope.Tagged(map[string]string{"outcome": outcome})
+	tagged.Counter("requests").Inc(1)
+	tagged.Histogram("request_seconds", latencies).RecordDuration(time.Since(r.Arrived))
 	if j != nil {
 		fields["route"] = j.route.Name
 		fields["workspace"] = j.workspace.Name
@@ -195,6 +197,12 @@
 		fields["stages_ms"] = j.stagesFor.Milliseconds()
 		fields["first_ms"] = j.firstFor.Milliseconds()
 		fields["objective_ms"] = j.route.Objective.Milliseconds()
+		if j.stagesFor > 0 {
+			c.scope.Histogram("stages_seconds", latencies).RecordDuration(j.stagesFor)
+		}
+		if j.firstFor > 0 {
+			c.scope.Histogram("first_byte_seconds", latencies).RecordDuration(j.firstFor)
+		}
 	}
 	c.log.WithFields(fields).Info("request ended")
 }
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -71,6 +72,13 @@
 	return g, r.read(func() error { return nil })
 }
 
+// NeedsRestart reports whether g differs from old in what a running node cannot
+// change.
+func (g Gateway) NeedsRestart(old Gateway) bool {
+	g.LogLevel, g.RetryShare, g.RetryReserve, g.RetryWindow = old.LogLevel, old.RetryShare, old.RetryReserve, old.RetryWindow
+	return !reflect.DeepEqual(g, old)
+}
+
 func (g *Gateway) keys() []key {
 	const longest = time.Hour
 	return []key{
--- a/internal/stagepool/pool.go
+++ b/internal/stagepool/pool.go
@@ -38,6 +38,9 @@
 	tellEvery = time.Second
 )
 
+// callTimes are the buckets of the histogram of calls: 20 ms to 5 s.
+var callTimes = tally.MustMakeExponentialDurationBuckets(20*time.Millisecond, 1.6, 13)
+
 // Pool owns the servers of one service. It is safe for concurrent use.
 type Pool struct {
 	driver Driver
@@ -181,6 +184,7 @@
 	if b.abandoned {
 		return
 	}
+	p.scope.Histogram("call_seconds", callTimes).RecordDuration(now.Sub(b.began))
 	if err == nil {
 		p.free(p.scheduler.finished(now, b, outcomes))
 		p.kick()
