platform/soak: real daemons on loopback with trouble from outside

Cause: nothing tried the real program with signals and real sockets under faults. Not built: shifted clocks.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -36,6 +36,7 @@
 	Dump    dumpCommand    `cmd:"" help:"Print what a node knows, from its peer address."`
 	Load    loadCommand    `cmd:"" help:"Offer requests at a rate; print attainment, latency and cost by stage."`
 	Standin standinCommand `cmd:"" help:"Serve stand-ins of a site's platform and backend servers on loopback."`
+	Soak    soakCommand    `cmd:"" help:"Run real daemons on loopback, make trouble from outside, and check the promises."`
 	Demo    demoCommand    `cmd:"" help:"Run both example sites in this process, with a stop and a failure under load."`
 	Version versionCommand `cmd:"" help:"Print the release."`
 }
