--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -45,7 +45,7 @@
 		}
 		c.Dir = dir
 	}
-	fmt.Fprintf(o.out, "logs in %s\n", c.Dir)
+	_, _ = fmt.Fprintf(o.out, "logs in %s\n", c.Dir)
 	var mu sync.Mutex
 	failed := 0
 	seeds := make(chan uint64)
@@ -55,7 +55,7 @@
 			for seed := range seeds {
 				ok, line := c.one(job, seed)
 				mu.Lock()
-				fmt.Fprintln(o.out, line)
+				_, _ = fmt.Fprintln(o.out, line)
 				if !ok {
 					failed++
 				}
@@ -68,7 +68,7 @@
 	}
 	close(seeds)
 	workers.Wait()
-	fmt.Fprintf(o.out, "%d passed, %d failed\n", c.Count-failed, failed)
+	_, _ = fmt.Fprintf(o.out, "%d passed, %d failed\n", c.Count-failed, failed)
 	if failed > 0 {
 		return fmt.Errorf("soak: %d of %d seeds failed", failed, c.Count)
 	}
