internal/stagepool: end at once what would not be reached in time

What was given up on is to be answered at once. Change: a task before which more pieces wait than the servers make until it is of no use ends as late.

--- a/internal/stagepool/scheduler.go
+++ b/internal/stagepool/scheduler.go
@@ -293,6 +293,7 @@
 		return nil
 	}
 	s.order(now)
+	s.giveUp(now, len(usable))
 	if len(free) > 0 {
 		most := min((s.pieces()+len(free)-1)/len(free), s.spec.Size)
 		for _, state := range free {
@@ -342,6 +343,22 @@
 	return t.Latest.Add(time.Duration(t.Priority) * priorityTime)
 }
 
+// giveUp ends tasks that would not be reached before they are of no use, so that
+// their callers hear of it at once. The order must be fresh.
+func (s *scheduler) giveUp(now time.Time, servers int) {
+	round := float64(s.even(s.spec.Size)) / float64(s.spec.Size*s.spec.Slots*servers)
+	ahead := 0
+	s.waiting = slices.DeleteFunc(s.waiting, func(t *task) bool {
+		wait := time.Duration(float64(ahead) * round)
+		if now.Add(wait + s.spec.CallTime).After(t.Deadline) {
+			t.finish(FailureLate)
+			return true
+		}
+		ahead += len(t.pending)
+		return false
+	})
+}
+
 func (s *scheduler) fill(now time.Time, state *serverState, most int, zones map[string]bool) *batch {
 	b := &batch{server: state, began: now}
 	room := s.spec.Room - state.used
--- a/internal/stagepool/scheduler_test.go
+++ b/internal/stagepool/scheduler_test.go
@@ -244,3 +244,22 @@
 	again := next(t, s, start)
 	assert.Assert(t, again.Server() != b.Server())
 }
+
+func TestWhatWouldNotBeReachedEndsAtOnce(t *testing.T) {
+	s := stagepool.NewScheduler(spec, server(1, "a"))
+	var tasks []stagepool.Task
+	for i := range 40 {
+		w := work(fmt.Sprint(i), 8)
+		w.Deadline = start.Add(2 * time.Second)
+		tasks = append(tasks, s.Add(start, w))
+	}
+	next(t, s, start)
+	ended := 0
+	for _, task := range tasks {
+		if failure, done := task.Done(); done {
+			assert.Equal(t, failure, stagepool.FailureLate)
+			ended++
+		}
+	}
+	assert.Assert(t, ended > 30 && ended < 36, "one server makes 7 such calls in 2 s, %d of 40 ended", ended)
+}
