--- a/internal/stagepool/group_test.go
+++ b/internal/stagepool/group_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
@@ -176,3 +177,29 @@
 		cancel()
 	})
 }
+
+// On farbwerk-mix-grown, small inputs tied work to the zone with the fewest
+// servers.
+func TestWorkWithoutAZoneGoesWhereItWaitsLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		servers := []stagepool.Server{server(1, "a")}
+		for i := range 9 {
+			servers = append(servers, server(i+2, "b"))
+		}
+		f, groups := newFleet(ctx, 3, servers...)
+		var all sync.WaitGroup
+		for i := range 400 {
+			all.Go(func() { ask(ctx, groups[i%len(groups)], fmt.Sprint(i), "") })
+			time.Sleep(5 * time.Millisecond)
+		}
+		all.Wait()
+		calls := 0
+		for _, count := range f.calls {
+			calls += count
+		}
+		assert.Assert(t, f.calls["s1"]*5 < calls, "one of ten servers has %d of %d calls", f.calls["s1"], calls)
+		cancel()
+	})
+}
--- a/internal/stagepool/scheduler_test.go
+++ b/internal/stagepool/scheduler_test.go
@@ -263,3 +263,14 @@
 	}
 	assert.Assert(t, ended > 30 && ended < 36, "one server makes 7 such calls in 2 s, %d of 40 ended", ended)
 }
+
+// On farbwerk-mix trouble-2, late tasks waited behind timely ones while their
+// inputs filled the rooms of the pool before, which came to a stand.
+func TestHeavyWorkIsNotPutOff(t *testing.T) {
+	s := stagepool.NewScheduler(spec, server(1, "a"))
+	late := work("late", 8)
+	late.Latest, late.InputBytes = start.Add(-time.Second), 1<<20
+	s.Add(start, work("timely", 8))
+	s.Add(start, late)
+	assert.Equal(t, next(t, s, start).Requests()[0], "late")
+}
