--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -15,9 +15,14 @@
 	"github.com/wingvale/wingvale/platform/standin"
 )
 
-// soakServed is the share of requests that are served once all has come to
-// rest.
-const soakServed = 0.95
+const (
+	// soakServed is the share of requests that are served once all has come to
+	// rest.
+	soakServed = 0.95
+	// jobsMost bounds the seeds that run at the same time; soaks that run
+	// beside each other use other addresses.
+	jobsMost = 16
+)
 
 type soakCommand struct {
 	Binary string        `help:"The daemon to run; by default wingvaled beside this program." type:"path"`
@@ -50,7 +55,7 @@
 	failed := 0
 	seeds := make(chan uint64)
 	var workers sync.WaitGroup
-	for job := range max(c.Jobs, 1) {
+	for job := range min(max(c.Jobs, 1), jobsMost) {
 		workers.Go(func() {
 			for seed := range seeds {
 				ok, line := c.one(job, seed)
@@ -77,7 +82,7 @@
 
 func (c *soakCommand) one(job int, seed uint64) (bool, string) {
 	r, err := soak.Run(context.Background(), soak.Options{
-		Binary: c.Binary, Dir: c.Dir, Seed: seed, Nodes: c.Nodes, For: c.For, Run: job,
+		Binary: c.Binary, Dir: c.Dir, Seed: seed, Nodes: c.Nodes, For: c.For, Run: os.Getpid()*jobsMost + job,
 	})
 	line := fmt.Sprintf("seed %d: served %d of %d after the last fault; told %v; faults %v", seed, r.Served, r.After, r.Outcomes, r.Faults)
 	if err != nil {
