internal/relay: give up inputs at the first event, also of streams that may go on

Cause: results that a resumable stream might need again took up room at the last stage's servers until its end, 0.3 to 0.5 s of about 0.7; rooms are what binds the pools in a burst (no room, used_bytes near the service's room in the logs). Change: inputs are given up at the first event of every stream; one that breaks has them made again, for as long as its caller waits for the whole.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -81,6 +81,10 @@
 		if err := s.mayGoOn(err); err != nil {
 			return s.fail(err)
 		}
+		if s.started {
+			g.release()
+			g = nil
+		}
 	}
 }
 
@@ -112,7 +116,7 @@
 	if !g.needed() {
 		return nil
 	}
-	if need := g.least(len(j.route.Stages)) + expectedRead(j.Request); time.Until(j.firstBy) < need {
+	if need := g.least(len(j.route.Stages)) + expectedRead(j.Request); j.ran() == 0 && time.Until(j.firstBy) < need {
 		return j.refuse(verdict.ReasonDeadline, g.waits(), "%v left to begin, %v needed", time.Until(j.firstBy).Round(time.Millisecond), need)
 	}
 	began := time.Now()
@@ -259,12 +263,10 @@
 	}
 }
 
-// begin passes the head on with the first event, and gives up the inputs unless
-// another engine may yet need them.
+// begin passes the head on with the first event, and gives up the inputs: room
+// for them is scarce, and the few streams that break have them made again.
 func (s *stream) begin(answer *exchange.Answer, g *graph) {
-	if !s.job.route.Resumable {
-		g.release()
-	}
+	g.release()
 	if s.started {
 		return
 	}
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -217,7 +217,7 @@
 		Workspace:   j.workspace.Name,
 		Route:       j.route.Name,
 		Latest:      j.objective.Add(-after),
-		Deadline:    j.firstBy.Add(-g.least(g.depth[i]-1) - expectedRead(j.Request)),
+		Deadline:    j.useful().Add(-g.least(g.depth[i]-1) - expectedRead(j.Request)),
 		Priority:    j.priority(),
 		ResultBytes: stage.ResultBytes,
 		InputBytes:  g.inputBytes(i),
@@ -281,6 +281,15 @@
 	return zone
 }
 
+// useful is until when inputs are of use: until callers give the first event
+// up, or the whole of a stream that has begun.
+func (j *job) useful() time.Time {
+	if j.ran() > 0 {
+		return j.deadline
+	}
+	return j.firstBy
+}
+
 // workspaceRanks is how many ranks of routes one rank of workspaces outweighs.
 const workspaceRanks = 2
 
