--- /dev/null
+++ b/internal/stagepool/outcome.go
@@ -0,0 +1,146 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package stagepool
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// overdue gives up on calls that take far too long: the answer is lost, or the
+// server much slower than it was. It returns them, and reports whether there
+// are calls to look at again. What they made takes up room until it expires.
+func (s *scheduler) overdue(now time.Time) (late []*batch, again bool) {
+	for _, state := range s.servers {
+		for _, b := range slices.Clone(state.running) {
+			limit := time.Duration(overdueFactor*float64(b.expected)) + overdueSlack
+			if now.Sub(b.began) < limit {
+				again = true
+				continue
+			}
+			late = append(late, b)
+			s.remove(b)
+			b.abandoned = true
+			state.factor = max(state.factor, now.Sub(b.began).Seconds()/s.even(len(b.items)).Seconds())
+			state.until = now.Add(fullPause)
+			state.used -= b.bytes
+			state.hold(fmt.Sprintf("lost %d", b.began.UnixNano()), b.bytes, now.Add(s.spec.Hold))
+			s.resend(b.items)
+		}
+	}
+	return late, again
+}
+
+// resend lets pieces wait again.
+func (s *scheduler) resend(items []sent) {
+	for _, item := range items {
+		t := item.task
+		if t.ended || t.results[item.position].Handle != "" || slices.Contains(t.pending, item.position) {
+			continue
+		}
+		if t.tries[item.position] >= triesMost {
+			t.finish(FailureFailed)
+			continue
+		}
+		if len(t.pending) == 0 && !slices.Contains(s.waiting, t) {
+			s.waiting = append(s.waiting, t)
+		}
+		t.pending = append(t.pending, item.position)
+	}
+}
+
+// refused notes that a call was not taken: the server was full, or could not be
+// reached.
+func (s *scheduler) refused(now time.Time, b *batch, full bool) {
+	if b.abandoned {
+		return
+	}
+	s.remove(b)
+	b.server.used -= b.bytes
+	if full {
+		b.server.until = now.Add(fullPause)
+	} else {
+		b.server.failures++
+		pause := ejectFirst << min(b.server.failures-1, 10)
+		b.server.until = now.Add(min(pause, ejectMost))
+	}
+	s.resend(b.items)
+}
+
+// finished takes the outcomes of a call, one for each item, and returns the
+// results that nobody wants.
+func (s *scheduler) finished(now time.Time, b *batch, outcomes []Outcome) []Result {
+	if b.abandoned {
+		return nil
+	}
+	s.remove(b)
+	state := b.server
+	state.failures = 0
+	state.used -= b.bytes
+	if worked(outcomes) {
+		state.factor += factorGain * (now.Sub(b.began).Seconds()/s.even(len(b.items)).Seconds() - state.factor)
+	}
+	var unwanted []Result
+	var again []sent
+	for i, item := range b.items {
+		t := item.task
+		switch o := outcomes[i]; {
+		case o.Failure == FailureRoom:
+			t.tries[item.position]--
+			state.until = now.Add(roomPause)
+			again = append(again, item)
+		case o.Failure == FailureFailed:
+			again = append(again, item)
+		case o.Failure != "":
+			t.finish(o.Failure)
+		default:
+			r := Result{Handle: o.Handle, Server: state.Address, Zone: state.Zone}
+			state.hold(o.Handle, t.ResultBytes, now.Add(s.spec.Hold))
+			if t.ended || t.results[item.position].Handle != "" {
+				unwanted = append(unwanted, r)
+				continue
+			}
+			t.results[item.position] = r
+			// A copy that still waits must not be sent: a server may give it
+			// the same handle, and giving up the copy would take the result.
+			t.pending = slices.DeleteFunc(t.pending, func(p int) bool { return p == item.position })
+			if t.missing--; t.missing == 0 {
+				t.finish("")
+			}
+		}
+	}
+	s.resend(again)
+	for _, item := range b.items {
+		if t := item.task; t.ended && t.failure != "" {
+			unwanted = append(unwanted, t.takeResults()...)
+		}
+	}
+	return unwanted
+}
+
+// worked reports whether a server made all pieces of a call, so that its time
+// tells how fast it is.
+func worked(outcomes []Outcome) bool {
+	return !slices.ContainsFunc(outcomes, func(o Outcome) bool { return o.Failure != "" })
+}
+
+func (s *scheduler) remove(b *batch) {
+	b.server.running = slices.DeleteFunc(b.server.running, func(other *batch) bool { return other == b })
+}
+
+// released notes that a server has given up results.
+func (s *scheduler) released(address netip.AddrPort, handles []string) {
+	state := s.servers[address]
+	if state == nil {
+		return
+	}
+	for _, handle := range handles {
+		if h, ok := state.held[handle]; ok {
+			state.used -= h.bytes
+			delete(state.held, handle)
+		}
+	}
+}
