--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -300,6 +300,8 @@
 		if n.members.due(now) {
 			n.refresh()
 		}
+		n.tellRejected(n.configuration.TakeRejected())
+		n.tellRejected(n.listed.TakeRejected())
 		if now.Sub(pruned) >= pruneEvery {
 			pruned = now
 			n.backends.Prune(now)
@@ -307,6 +309,14 @@
 	}
 }
 
+// tellRejected logs published values that are wrong; the last good ones stay in
+// force.
+func (n *Node) tellRejected(rejected []published.Rejection) {
+	for _, r := range rejected {
+		n.log.WithFields(logrus.Fields{"key": r.Key, "revision": r.Revision, "reason": r.Reason}).Warn("published value refused")
+	}
+}
+
 func (n *Node) paused() bool {
 	return time.Since(n.start)-time.Duration(n.lastTick.Load()) > pausedAfter
 }
--- a/internal/published/store.go
+++ b/internal/published/store.go
@@ -54,6 +54,9 @@
 	held map[string]held[V]
 	// rejected has for each key the highest invalid entry above the held one.
 	rejected map[string]Rejection
+	// untold has the rejections that TakeRejected has not returned yet, at most
+	// maxUntold.
+	untold []Rejection
 	// sums has the combined hash of each bucket of held.
 	sums     [Buckets]uint64
 	revision uint64
@@ -151,7 +154,23 @@
 	if r, found := s.rejected[e.Key]; found && r.Revision >= e.Revision {
 		return
 	}
-	s.rejected[e.Key] = Rejection{Key: e.Key, Revision: e.Revision, Reason: err.Error()}
+	r := Rejection{Key: e.Key, Revision: e.Revision, Reason: err.Error()}
+	s.rejected[e.Key] = r
+	if len(s.untold) < maxUntold {
+		s.untold = append(s.untold, r)
+	}
+}
+
+// maxUntold bounds the rejections that wait to be told.
+const maxUntold = 100
+
+// TakeRejected returns the rejections since the last call, for the log.
+func (s *Store[V]) TakeRejected() []Rejection {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	untold := s.untold
+	s.untold = nil
+	return untold
 }
 
 // Listing is a full list of the service's keys as of one revision.
--- a/internal/published/store_test.go
+++ b/internal/published/store_test.go
@@ -137,3 +137,15 @@
 		}
 	})
 }
+
+func TestRejectionsAreToldOnce(t *testing.T) {
+	s := published.New(pipeline.Decode)
+	s.Offer(entry(1, 5))
+	s.Offer(entry(2, 5000), entry(2, 5000))
+	told := s.TakeRejected()
+	assert.Equal(t, len(told), 1)
+	assert.Equal(t, told[0].Key, key)
+	assert.Equal(t, told[0].Revision, uint64(2))
+	assert.Equal(t, len(s.TakeRejected()), 0)
+	assert.Equal(t, weightOf(s), 5, "the last good one stays")
+}
