--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -72,6 +72,8 @@
 	confirm       *confirmer
 	random        *rand.Rand
 
+	refreshing sync.Mutex
+
 	ctx      context.Context
 	end      context.CancelFunc
 	ready    atomic.Bool
@@ -323,8 +325,12 @@
 
 // refresh brings the core and the stage pools in line with what is published.
 func (n *Node) refresh() {
+	// Watchers, peers and the upkeep all call this; what one has read must not
+	// be set after what a later one has.
+	n.refreshing.Lock()
+	defer n.refreshing.Unlock()
 	if catalog, ok := n.configuration.Get(n.options.ConfigurationKey); ok {
-		if old := n.core.Catalog(); old == nil || old.Version != catalog.Version {
+		if old := n.core.Catalog(); old == nil || old.Version < catalog.Version {
 			n.log.WithFields(logrus.Fields{"version": catalog.Version, "revision": n.configuration.Revision(n.options.ConfigurationKey)}).
 				Info("configuration in force")
 		}
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -79,9 +79,17 @@
 	}
 }
 
-// SetCatalog brings a configuration into force.
+// SetCatalog brings a configuration into force, unless a newer one is.
 func (c *Core) SetCatalog(catalog *Catalog) {
-	c.catalog.Store(catalog)
+	for {
+		old := c.catalog.Load()
+		if old != nil && old.Version >= catalog.Version {
+			return
+		}
+		if c.catalog.CompareAndSwap(old, catalog) {
+			return
+		}
+	}
 }
 
 // Catalog returns the configuration in force, or nil.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -4,6 +4,7 @@
 package relay_test
 
 import (
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -87,6 +88,17 @@
 	})
 }
 
+// Two parts of a node may bring a configuration each; the later call may have
+// the older one.
+func TestAConfigurationNeverGoesBack(t *testing.T) {
+	c := relay.New(relay.Options{Hosts: func() int { return 1 }, Random: rand.New(rand.NewPCG(1, 1))})
+	c.SetCatalog(relay.NewCatalog(6, nil, nil, nil, relay.Limits{}))
+	c.SetCatalog(relay.NewCatalog(4, nil, nil, nil, relay.Limits{}))
+	assert.Equal(t, c.Catalog().Version, uint64(6))
+	c.SetCatalog(relay.NewCatalog(7, nil, nil, nil, relay.Limits{}))
+	assert.Equal(t, c.Catalog().Version, uint64(7))
+}
+
 func TestTargetsAreWeighed(t *testing.T) {
 	r := relay.Route{Targets: []relay.Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 	assert.Equal(t, relay.TargetOf(r, 0), "a")
--- a/internal/stagepool/pool.go
+++ b/internal/stagepool/pool.go
@@ -177,7 +177,7 @@
 	}
 	p.scope.Counter("calls").Inc(1)
 	p.scope.Counter("pieces").Inc(int64(len(items)))
-	outcomes, err := p.driver.RunBatch(ctx, b.server.Server, items)
+	outcomes, err := p.driver.RunBatch(ctx, b.target, items)
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -224,13 +224,15 @@
 	handles := p.freeing[address]
 	delete(p.freeing, address)
 	state := p.scheduler.servers[address]
-	p.mu.Unlock()
 	if state == nil || len(handles) == 0 {
+		p.mu.Unlock()
 		return
 	}
+	server := state.Server
+	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(p.ctx, freeFor)
 	defer cancel()
-	if err := p.driver.Free(ctx, state.Server, handles); err != nil {
+	if err := p.driver.Free(ctx, server, handles); err != nil {
 		p.log.WithError(err).WithField("server", address).Info("results could not be given up; they expire")
 		return
 	}
--- a/internal/stagepool/scheduler.go
+++ b/internal/stagepool/scheduler.go
@@ -197,7 +197,7 @@
 }
 
 func (s *scheduler) fill(now time.Time, state *serverState, most int, zones map[string]bool) *batch {
-	b := &batch{server: state, began: now}
+	b := &batch{server: state, target: state.Server, began: now}
 	room := s.spec.Room - state.used
 	for _, t := range s.waiting {
 		if !s.fits(now, t, state, zones) {
--- a/internal/stagepool/task.go
+++ b/internal/stagepool/task.go
@@ -42,7 +42,10 @@
 
 // batch is one call to one server.
 type batch struct {
-	server   *serverState
+	server *serverState
+	// target is the server as it was when the call was made up; it may be read
+	// without the pool's lock.
+	target   Server
 	items    []sent
 	began    time.Time
 	expected time.Duration
