internal/publisher: no busy loop where history is forgotten again and again

Cause: a source that answers every call with "too old" made the watcher list and watch without a pause; a test of the watcher that did so never ended.

After: under 30 calls in 3 s of such answers.

--- /dev/null
+++ b/internal/memnet/memnet_test.go
@@ -0,0 +1,120 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package memnet_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/memnet"
+)
+
+var (
+	near = netip.MustParseAddr("10.0.0.1")
+	far  = netip.MustParseAddrPort("10.0.0.2:80")
+)
+
+const oneWay = 5 * time.Millisecond
+
+// withEcho connects near to a host that sends back what it gets.
+func withEcho(t *testing.T, do func(n *memnet.Network, c net.Conn)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(func(_, _ netip.Addr) time.Duration { return oneWay })
+		l, err := n.Listen(far)
+		assert.NilError(t, err)
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go echo(c)
+			}
+		}()
+		c, err := n.Dialer(near)(t.Context(), "tcp", far.String())
+		assert.NilError(t, err)
+		do(n, c)
+		n.HealAll()
+		_ = c.Close()
+		_ = l.Close()
+	})
+}
+
+func echo(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	buffer := make([]byte, 64)
+	for {
+		n, err := c.Read(buffer)
+		if err != nil {
+			return
+		}
+		if _, err := c.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// ask sends a byte and returns how long it took to come back.
+func ask(c net.Conn) (time.Duration, error) {
+	began := time.Now()
+	if _, err := c.Write([]byte("x")); err != nil {
+		return 0, err
+	}
+	_ = c.SetReadDeadline(began.Add(3 * time.Second))
+	_, err := c.Read(make([]byte, 1))
+	return time.Since(began), err
+}
+
+func TestBytesTakeTheirWayBothWays(t *testing.T) {
+	withEcho(t, func(_ *memnet.Network, c net.Conn) {
+		took, err := ask(c)
+		assert.NilError(t, err)
+		assert.Equal(t, took, 2*oneWay)
+	})
+}
+
+func TestACutHoldsBytesUntilItHeals(t *testing.T) {
+	withEcho(t, func(n *memnet.Network, c net.Conn) {
+		n.Cut(near, far.Addr())
+		time.AfterFunc(time.Second, func() { n.Heal(near, far.Addr()) })
+		took, err := ask(c)
+		assert.NilError(t, err)
+		assert.Assert(t, took >= time.Second, "took %v", took)
+	})
+}
+
+func TestACutHoldsNewConnections(t *testing.T) {
+	withEcho(t, func(n *memnet.Network, _ net.Conn) {
+		n.Cut(far.Addr(), near)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := n.Dialer(near)(ctx, "tcp", far.String())
+		assert.Assert(t, err != nil)
+	})
+}
+
+func TestAFrozenHostSendsNothing(t *testing.T) {
+	withEcho(t, func(n *memnet.Network, c net.Conn) {
+		n.Freeze(far.Addr(), true)
+		time.AfterFunc(time.Second, func() { n.Freeze(far.Addr(), false) })
+		took, err := ask(c)
+		assert.NilError(t, err)
+		assert.Assert(t, took >= time.Second, "took %v", took)
+	})
+}
+
+func TestAKilledHostCutsItsConnections(t *testing.T) {
+	withEcho(t, func(n *memnet.Network, c net.Conn) {
+		n.Kill(far.Addr())
+		_, err := ask(c)
+		assert.Assert(t, err != nil)
+	})
+}
--- a/internal/publisher/watcher.go
+++ b/internal/publisher/watcher.go
@@ -104,8 +104,14 @@
 			sleep(ctx, idleCheck)
 			continue
 		}
-		next, err := w.step(ctx, after, time.Since(listed) > fullReadEvery)
-		if errors.Is(err, ErrCompacted) {
+		full := time.Since(listed) > fullReadEvery
+		next, err := w.step(ctx, after, full)
+		if errors.Is(err, ErrCompacted) && !full {
+			// A history that is forgotten again and again must not make a busy
+			// loop of listings.
+			if time.Since(listed) < backoffFirst {
+				sleep(ctx, backoffFirst)
+			}
 			listed = time.Time{}
 			continue
 		}
--- /dev/null
+++ b/internal/publisher/watcher_test.go
@@ -0,0 +1,154 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package publisher_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/published"
+	"github.com/wingvale/wingvale/internal/publisher"
+)
+
+// source is a publisher with one key whose answers a test chooses.
+type source struct {
+	mu       sync.Mutex
+	revision uint64
+	failing  error
+	reads    int
+	watches  []uint64
+}
+
+func (s *source) answer() (publisher.Values, error) {
+	if s.failing != nil {
+		return publisher.Values{}, s.failing
+	}
+	return publisher.Values{Revision: s.revision, Values: []publisher.Item{{Key: "k", Revision: s.revision, Value: "v"}}}, nil
+}
+
+// Read answers all keys.
+func (s *source) Read(context.Context, publisher.Space) (publisher.Values, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	return s.answer()
+}
+
+// Watch answers after a second.
+func (s *source) Watch(ctx context.Context, _ publisher.Space, after uint64) (publisher.Values, error) {
+	select {
+	case <-ctx.Done():
+		return publisher.Values{}, ctx.Err()
+	case <-time.After(time.Second):
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watches = append(s.watches, after)
+	return s.answer()
+}
+
+func (s *source) set(revision uint64, failing error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.failing = revision, failing
+}
+
+func (s *source) counts() (reads, watches int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads, len(s.watches)
+}
+
+// watching runs a watcher of src in a bubble.
+func watching(t *testing.T, src *source, change func(o *publisher.WatcherOptions), do func(store *published.Store[string])) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		store := published.New(func(_ string, data []byte) (string, error) { return string(data), nil })
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		o := publisher.WatcherOptions{
+			Source: src, Space: publisher.SpaceConfiguration, Store: store, Must: func() bool { return true },
+			Accepted: func([]published.Entry) {}, Log: log, Random: rand.New(rand.NewPCG(1, 1)),
+		}
+		if change != nil {
+			change(&o)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		w := publisher.NewWatcher(o)
+		go w.Run(ctx)
+		do(store)
+		cancel()
+		<-w.Done()
+	})
+}
+
+func TestAWatcherReadsOnceAndGoesOnFromThere(t *testing.T) {
+	src := &source{revision: 7}
+	watching(t, src, nil, func(*published.Store[string]) {
+		time.Sleep(10500 * time.Millisecond)
+		reads, watches := src.counts()
+		assert.Equal(t, reads, 1)
+		assert.Equal(t, watches, 10)
+		assert.Equal(t, src.watches[0], uint64(7))
+	})
+}
+
+// A source that answered every call so made a busy loop.
+func TestAForgottenRevisionIsReadAnew(t *testing.T) {
+	src := &source{revision: 7}
+	watching(t, src, nil, func(*published.Store[string]) {
+		time.Sleep(500 * time.Millisecond)
+		src.set(9, publisher.ErrCompacted)
+		time.Sleep(3 * time.Second)
+		reads, watches := src.counts()
+		assert.Assert(t, reads+watches < 30, "%d reads and %d watches in 3 s", reads, watches)
+		src.set(9, nil)
+		time.Sleep(9 * time.Second)
+		reads, _ = src.counts()
+		assert.Assert(t, reads >= 2, "%d reads", reads)
+		assert.Equal(t, src.watches[len(src.watches)-1], uint64(9))
+	})
+}
+
+func TestAnOutageIsToldOnceAndItsEnd(t *testing.T) {
+	src := &source{revision: 7}
+	lost, regained := 0, 0
+	options := func(o *publisher.WatcherOptions) {
+		o.Lost, o.Regained = func() { lost++ }, func() { regained++ }
+		o.MostBackoff = 500 * time.Millisecond
+	}
+	watching(t, src, options, func(*published.Store[string]) {
+		time.Sleep(1500 * time.Millisecond)
+		src.set(7, errors.New("down"))
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, regained, 0)
+		src.set(8, nil)
+		time.Sleep(2 * time.Second)
+	})
+	// Each try that fails is told; the parts that hear it keep the first.
+	assert.Assert(t, lost > 0)
+	assert.Equal(t, regained, 1)
+}
+
+func TestANodeThatNeedNotWatchReadsOnlyAtItsStart(t *testing.T) {
+	src := &source{revision: 7}
+	watching(t, src, func(o *publisher.WatcherOptions) { o.Must = func() bool { return false } }, func(store *published.Store[string]) {
+		time.Sleep(time.Minute)
+		reads, watches := src.counts()
+		assert.Equal(t, reads, 1)
+		assert.Equal(t, watches, 0)
+		value, ok := store.Get("k")
+		assert.Assert(t, ok)
+		assert.Equal(t, value, "v")
+	})
+}
