internal/relay: refuse at once what the stages' waits make late

From 6 to 20 s 85 to 99 in 100 rezept-erklaerung were late: all waited until they were just too late, or 5.8 s and were refused then. Work was ordered by when it is due, without what engines take beyond an idle one, and nothing was refused at the start. Ruled out: servers (all at work), speed (factors 1.0 to 1.4), refusals by servers (none).

Change: owners of pools tell how long new work waits there, by how soon it is due; hosts pass these outlooks on with every question, so that one which asks seldom knows all pools (a second old at most). A request that would be late is refused before anything is sent, by a chance that grows with the share of its slack that waits take (0.4 to 0.8), and told to come back within a third of the time its caller has. Callers that came back, and what would be late at idle pools, are not refused. What is late goes on for 1.5 s after its objective, or 45% of the time of a caller that came back, and is refused then. Latest times count what engines take on top lately. A pool's rate is what it made while crowded, not what full calls would make. Heavy work waits 500 ms for its zone.

--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/wingvale/wingvale/internal/enginepool"
+	"github.com/wingvale/wingvale/internal/estimate"
 	"github.com/wingvale/wingvale/internal/exchange"
 	"github.com/wingvale/wingvale/internal/stagepool"
 )
@@ -51,31 +52,30 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
-	// waits has how long the pools of stage services last said that new work
-	// waits there.
-	waits map[string]waited
+	// patience has the longest time that callers of each route began with.
+	patience map[string]time.Duration
+
+	// delays has how much longer than expected first events took, by route.
+	delays *estimate.Table
 }
 
+// routesMost bounds the routes that something is remembered of.
+const routesMost = 4096
+
 // latencies are the buckets of the histograms: 5 ms to 20 s.
 var latencies = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 1.6, 18)
 
-type waited struct {
-	wait time.Duration
-	at   time.Time
-	// call is how long a call takes; it does not fade.
-	call time.Duration
-}
-
 // New returns a core that knows neither a configuration nor servers.
 func New(o Options) *Core {
 	return &Core{
-		options: o,
-		log:     o.Log,
-		scope:   o.Scope,
-		servers: newServers(o.Zone, rand.New(rand.NewPCG(o.Random.Uint64(), o.Random.Uint64()))),
-		retries: newRetries(o.RetryShare, o.RetryReserve, o.RetryWindow, o.Hosts),
-		random:  o.Random,
-		waits:   make(map[string]waited),
+		options:  o,
+		log:      o.Log,
+		scope:    o.Scope,
+		servers:  newServers(o.Zone, rand.New(rand.NewPCG(o.Random.Uint64(), o.Random.Uint64()))),
+		retries:  newRetries(o.RetryShare, o.RetryReserve, o.RetryWindow, o.Hosts),
+		random:   o.Random,
+		patience: make(map[string]time.Duration),
+		delays:   estimate.New(),
 	}
 }
 
@@ -118,36 +118,3 @@
 	defer c.mu.Unlock()
 	return c.random.Float64()
 }
-
-const (
-	// waitHalf is the half-life of what a pool said of its waiting work.
-	waitHalf = 300 * time.Millisecond
-)
-
-func (c *Core) noteWait(service string, wait, call time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if call == 0 {
-		call = c.waits[service].call
-	}
-	c.waits[service] = waited{wait: wait, at: time.Now(), call: call}
-}
-
-// call is how long a call of a stage service takes, 0 where that is not known.
-func (c *Core) call(service string) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.waits[service].call
-}
-
-// wait is how long new work of a stage service waits, as far as is known.
-func (c *Core) wait(service string) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	w := c.waits[service]
-	age := time.Since(w.at)
-	if w.at.IsZero() || age > 4*waitHalf {
-		return 0
-	}
-	return w.wait >> (age / waitHalf)
-}
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -33,3 +33,6 @@
 
 // TargetOf picks a route's service.
 func TargetOf(r Route, point float64) string { return r.target(point) }
+
+// ShedShare is the share of requests that are refused.
+func ShedShare(waits, slack time.Duration) float64 { return shedShare(waits, slack) }
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -55,7 +55,7 @@
 	for remakes := 0; ; {
 		if g == nil {
 			g = newGraph(j, s.homeZone())
-			if err := j.prepare(ctx, g); errors.Is(err, errGone) && remakes < remakesMost {
+			if err := j.prepare(ctx, g, remakes == 0 && j.sentTimes() == 0); errors.Is(err, errGone) && remakes < remakesMost {
 				remakes++
 				g.release()
 				g = nil
@@ -124,14 +124,20 @@
 // errGone says that an engine found an input gone; the request did not run.
 var errGone = verdict.New(verdict.NotRun, verdict.ReasonRefused, "relay: an input is gone")
 
-// prepare makes the inputs of the request.
-func (j *job) prepare(ctx context.Context, g *graph) error {
+// prepare makes the inputs of the request; first says that nothing was made
+// before.
+func (j *job) prepare(ctx context.Context, g *graph, first bool) error {
 	if !g.needed() {
 		return nil
 	}
 	if need := g.least(len(j.route.Stages)) + expectedRead(j.Request); j.ran() == 0 && time.Until(j.firstBy) < need {
 		return j.refuse(verdict.ReasonDeadline, g.waits(), "%v left to begin, %v needed", time.Until(j.firstBy).Round(time.Millisecond), need)
 	}
+	if first {
+		if err := g.shed(); err != nil {
+			return err
+		}
+	}
 	began := time.Now()
 	err := g.run(ctx)
 	j.stagesFor += time.Since(began)
@@ -217,6 +223,7 @@
 	took := time.Duration(0)
 	if !first.IsZero() {
 		took = first.Sub(began)
+		j.noteEngine(took)
 	}
 	s.ended(engine, took, err != nil && !errors.Is(err, ErrCut) && !left(ctx))
 	return err
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -106,3 +106,13 @@
 	assert.Equal(t, relay.TargetOf(r, 0.95), "b")
 	assert.Equal(t, relay.TargetOf(r, 0.9999), "b")
 }
+
+func TestMoreIsRefusedTheLongerPoolsWait(t *testing.T) {
+	for _, c := range []struct {
+		waits time.Duration
+		want  float64
+	}{{0, 0}, {400 * time.Millisecond, 0}, {600 * time.Millisecond, 0.5}, {time.Second, 0.85}, {time.Minute, 0.85}} {
+		got := relay.ShedShare(c.waits, time.Second)
+		assert.Assert(t, got > c.want-1e-9 && got < c.want+1e-9, "%v of a second: got %v, want %v", c.waits, got, c.want)
+	}
+}
--- /dev/null
+++ b/internal/relay/shed.go
@@ -0,0 +1,146 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package relay
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/wingvale/wingvale/internal/stagepool"
+	"github.com/wingvale/wingvale/verdict"
+)
+
+const (
+	// shedFrom and shedFull are waits at the pools over the time that a request
+	// can wait and be in time: from the first on some requests are refused, and
+	// beyond the second most. They leave a margin since pools are heard of up to
+	// a second late and each host decides alone; TestOverload in platform/standin
+	// serves most in time with these.
+	shedFrom = 0.4
+	shedFull = 0.8
+	// slackLeast is the least share of the objective that counts as time to
+	// wait: what idle pools and engines take is known roughly only.
+	slackLeast = 0.1
+	// shedMost is the largest share that is refused; the rest tells how the
+	// pools do.
+	shedMost = 0.85
+	// returnShare of the time that a caller has left is the longest that it
+	// stays away; callers come back sooner if told to stay longer.
+	returnShare = 1.0 / 3
+	// returnLeast is the part of that time which all refused callers stay away;
+	// the rest spreads them out.
+	returnLeast = 0.5
+	// freshShare of the longest patience seen on a route is what a caller has
+	// left that comes for the first time.
+	freshShare = 0.85
+	// lateFor is how long after its objective a fresh request may begin yet. Who
+	// waits longer fares better by coming back: late work goes last.
+	lateFor = 1500 * time.Millisecond
+	// waitShare of its time is how long a request that came back may wait for
+	// its stages.
+	waitShare = 0.45
+)
+
+// shed decides at once, before anything is sent, whether a request is refused
+// because its stages' pools are so full that it would be late. It returns nil
+// where the request is served. Not refused are callers that were told to come
+// back, and what would be late at idle pools too: neither fares better later.
+func (g *graph) shed() error {
+	j := g.job
+	left := time.Until(j.objective)
+	idle := g.estimate(len(j.route.Stages)) + expectedRead(j.Request)
+	if !j.fresh() || idle > left || left <= 0 {
+		return nil
+	}
+	slack := max(left-idle-j.core.engineDelay(j.route), time.Duration(slackLeast*float64(j.route.Objective)))
+	waits := g.waitsSum(slack)
+	share := shedShare(waits, slack)
+	if j.core.chance() >= share {
+		return nil
+	}
+	after := j.returnAfter()
+	j.core.scope.Counter("shed").Inc(1)
+	j.log.WithFields(logrus.Fields{
+		"waits_ms": waits.Milliseconds(), "slack_ms": slack.Milliseconds(), "left_ms": left.Milliseconds(),
+		"share": share, "return_ms": after.Milliseconds(),
+	}).Info("refused: the stages are too full to be in time")
+	return j.refuse(verdict.ReasonOverload, after, "stages wait %v of %v", waits.Round(time.Millisecond), slack.Round(time.Millisecond))
+}
+
+// shedShare is the share of the requests to refuse that would wait so long of
+// the time they can wait.
+func shedShare(waits, slack time.Duration) float64 {
+	over := waits.Seconds()/slack.Seconds() - shedFrom
+	return min(max(over/(shedFull-shedFrom), 0), shedMost)
+}
+
+// returnAfter is when a caller turned away by crowded pools is to come back: as
+// late as it would wait for it, spread out so that not all return at once.
+func (j *job) returnAfter() time.Duration {
+	longest := returnShare * float64(j.left())
+	return time.Duration(longest * (returnLeast + (1-returnLeast)*j.core.chance()))
+}
+
+// waitsSum is how long the stages wait for their turn on the longest way, as far
+// as is known of their pools; slack is how long they can.
+func (g *graph) waitsSum(slack time.Duration) time.Duration {
+	j := g.job
+	return g.longest(len(j.route.Stages), func(service string) time.Duration {
+		outlook, _ := j.core.options.Stages.Outlook(service)
+		return outlook.Waits.Before(slack + outlook.Call + stagepool.PriorityTime(j.priority()))
+	})
+}
+
+// fresh reports whether the caller comes for the first time: one that was told
+// to come back has less time left than callers of the route begin with.
+func (j *job) fresh() bool {
+	return j.Patience >= time.Duration(freshShare*float64(j.core.longestPatience(j.route.Name, j.Patience)))
+}
+
+// longestPatience notes a caller's patience on a route and returns the longest
+// that was seen there.
+func (c *Core) longestPatience(route string, patience time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.patience) >= routesMost {
+		clear(c.patience)
+	}
+	c.patience[route] = max(c.patience[route], patience)
+	return c.patience[route]
+}
+
+// engineDelay is how much longer than at an idle engine that has the shared
+// parts the first event of a route's requests took lately.
+func (c *Core) engineDelay(route *Route) time.Duration {
+	return c.delays.Of(route.Name).Mean
+}
+
+// useful is until when the stages of a request are of use: until its caller
+// gives the first event up, or the whole of a stream that has begun. A fresh
+// request is given up soon after its objective, with time to come back; another
+// when half of its time is over, so that its caller hears of it.
+func (j *job) useful() time.Time {
+	switch {
+	case j.ran() > 0:
+		return j.deadline
+	case j.fresh():
+		return earlier(j.firstBy, j.objective.Add(lateFor))
+	default:
+		half := time.Duration(waitShare * float64(j.deadline.Sub(j.Arrived)))
+		return earlier(j.firstBy, j.Arrived.Add(max(half, j.route.Objective)))
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// noteEngine takes in how long the first event took.
+func (j *job) noteEngine(first time.Duration) {
+	j.core.delays.Add(j.route.Name, max(first-expectedRead(j.Request), 0))
+}
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -103,7 +103,8 @@
 	var longest time.Duration
 	for i, stage := range g.job.route.Stages {
 		if g.job.pieces(i) > 0 {
-			longest = max(longest, g.job.core.wait(stage.Service))
+			outlook, _ := g.job.core.options.Stages.Outlook(stage.Service)
+			longest = max(longest, outlook.Waits.Longest())
 		}
 	}
 	return longest
@@ -125,11 +126,11 @@
 	if s == nil || s.Batch == nil {
 		return 0
 	}
-	call := j.core.call(service)
-	if call == 0 {
-		call = time.Duration(stageFactor * float64(s.Batch.CallTime))
+	outlook, known := j.core.options.Stages.Outlook(service)
+	if !known {
+		return time.Duration(stageFactor*float64(s.Batch.CallTime)) + stageTurn
 	}
-	return call + stageTurn
+	return outlook.Call + stageTurn
 }
 
 // run makes all pieces, each stage as soon as those before it have ended, but
@@ -167,7 +168,6 @@
 		running--
 		ended[end.stage] = true
 		g.results[end.stage] = end.answer.Results
-		g.job.core.noteWait(stages[end.stage].Service, end.answer.Wait, end.answer.Call)
 		if end.answer.Failure != "" && failed == nil {
 			failed = g.failure(ctx, end)
 			cancel()
@@ -209,7 +209,7 @@
 func (g *graph) work(i int) stagepool.Work {
 	j := g.job
 	stage := j.route.Stages[i]
-	after := g.estimate(g.depth[i]-1) + expectedRead(j.Request)
+	after := g.estimate(g.depth[i]-1) + expectedRead(j.Request) + j.core.engineDelay(j.route)
 	w := stagepool.Work{
 		Service:     stage.Service,
 		Request:     j.ID,
@@ -281,15 +281,6 @@
 	return zone
 }
 
-// useful is until when inputs are of use: until callers give the first event
-// up, or the whole of a stream that has begun.
-func (j *job) useful() time.Time {
-	if j.ran() > 0 {
-		return j.deadline
-	}
-	return j.firstBy
-}
-
 // workspaceRanks is how many ranks of routes one rank of workspaces outweighs.
 const workspaceRanks = 2
 
@@ -312,7 +303,11 @@
 		"stage": end.stage, "pool": service, "failure": end.answer.Failure, "owner": end.answer.Owner,
 		"wait_ms": end.answer.Wait.Milliseconds(), "left_ms": j.left().Milliseconds(),
 	}).Info("stage failed")
-	return j.refuse(verdict.ReasonOverload, end.answer.Wait+fullAfter, "stage %d at %s: %s", end.stage, service, end.answer.Failure)
+	after := end.answer.Wait + fullAfter
+	if end.answer.Failure == stagepool.FailureLate {
+		after = j.returnAfter()
+	}
+	return j.refuse(verdict.ReasonOverload, after, "stage %d at %s: %s", end.stage, service, end.answer.Failure)
 }
 
 // inputs returns the results that the request itself needs: those of the stages
--- a/internal/stagepool/export_test.go
+++ b/internal/stagepool/export_test.go
@@ -70,3 +70,30 @@
 
 // Results returns a task's results.
 func (t Task) Results() []Result { return t.t.results }
+
+// Outlooks is what one host knows of all pools.
+type Outlooks struct{ o *outlooks }
+
+// NewOutlooks returns what a host knows that heard of none.
+func NewOutlooks() Outlooks { return Outlooks{o: newOutlooks()} }
+
+// Note takes an outlook in.
+func (o Outlooks) Note(shard string, wait time.Duration, at time.Time) {
+	var waits Queue
+	for i := range waits {
+		waits[i] = wait
+	}
+	o.o.note(shard, Outlook{Waits: waits, At: at})
+}
+
+// Tell passes all on to another host.
+func (o Outlooks) Tell(other Outlooks) { other.o.take(time.Now(), o.o.messages(time.Now())) }
+
+// Wait returns the wait at a shard, and whether it is believed.
+func (o Outlooks) Wait(shard string) (time.Duration, bool) {
+	outlook, ok := o.o.of(shard)
+	return outlook.Waits.Longest(), ok
+}
+
+// Queue returns how long new work waits.
+func (s *Scheduler) Queue(now time.Time) Queue { return s.s.queue(now) }
--- a/internal/stagepool/group.go
+++ b/internal/stagepool/group.go
@@ -45,8 +45,6 @@
 	// zoneWait is how much longer work waits in its zone before it leaves it,
 	// about one call.
 	zoneWait = 250 * time.Millisecond
-	// waitFor is how long what a pool said of its waiting work is believed.
-	waitFor = time.Second
 )
 
 var errSilent = errors.New("stagepool: the owner does not answer")
@@ -63,19 +61,19 @@
 	specs map[string]Spec
 	// servers has the servers of each service.
 	servers map[string][]Server
-	// waits has how long work waits at shards, as their owners said last.
-	waits map[string]waited
+	// outlooks has a mutex of its own.
+	outlooks *outlooks
 }
 
 // New returns a group whose calls end with ctx.
 func New(ctx context.Context, options Options) *Group {
 	return &Group{
-		options: options,
-		ctx:     ctx,
-		pools:   make(map[string]*Pool),
-		specs:   make(map[string]Spec),
-		servers: make(map[string][]Server),
-		waits:   make(map[string]waited),
+		options:  options,
+		ctx:      ctx,
+		pools:    make(map[string]*Pool),
+		specs:    make(map[string]Spec),
+		servers:  make(map[string][]Server),
+		outlooks: newOutlooks(),
 	}
 }
 
@@ -124,24 +122,8 @@
 
 // wait is how long new work waits at a shard, as far as is known.
 func (g *Group) wait(shard string) time.Duration {
-	w := g.waits[shard]
-	age := time.Since(w.at)
-	if w.at.IsZero() || age > waitFor {
-		return 0
-	}
-	return w.wait
-}
-
-func (g *Group) noteWait(shard string, wait time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.waits[shard] = waited{wait: wait, at: time.Now()}
-}
-
-// waited is how long new work waits somewhere, as of a moment.
-type waited struct {
-	wait time.Duration
-	at   time.Time
+	outlook, _ := g.outlooks.of(shard)
+	return outlook.Waits.Longest()
 }
 
 func splitShard(key string) (service, zone string) {
@@ -188,10 +170,8 @@
 type Answer struct {
 	Results []Result
 	Failure Failure
-	// Wait is how long new work waits at the pool, Call how long its calls
-	// take; 0 is not known.
+	// Wait is how long new work waits at the pool; 0 is not known.
 	Wait time.Duration
-	Call time.Duration
 	// Owner is the host that made the calls.
 	Owner netip.AddrPort
 }
@@ -205,7 +185,6 @@
 	for _, p := range g.options.Owners.Others(shard, ownersTried) {
 		answer, err := g.ask(ctx, p, shard, w)
 		if err == nil {
-			g.noteWait(shard, answer.Wait)
 			return answer
 		}
 		if ctx.Err() != nil {
@@ -216,9 +195,7 @@
 		g.options.Log.WithError(err).WithFields(logrus.Fields{"peer": p.Address, "pool": shard, "request": w.Request}).
 			Warn("the owner of a stage pool failed; asking the next")
 	}
-	answer := g.runHere(ctx, shard, w)
-	g.noteWait(shard, answer.Wait)
-	return answer
+	return g.runHere(ctx, shard, w)
 }
 
 func (g *Group) runHere(ctx context.Context, shard string, w Work) Answer {
@@ -227,8 +204,7 @@
 		return Answer{Failure: FailureFailed}
 	}
 	results, failure := pool.run(ctx, w)
-	wait, call := pool.times()
-	return Answer{Results: results, Failure: failure, Wait: wait, Call: call, Owner: g.options.Self}
+	return Answer{Results: results, Failure: failure, Wait: g.refresh(shard, pool).Waits.Longest(), Owner: g.options.Self}
 }
 
 // ask hands w to another host, and gives up on it when it stands still.
@@ -238,10 +214,13 @@
 	client := stagepb.NewStagesProtobufClient("http://"+p.Control.String(), g.options.HTTP)
 	watch := time.AfterFunc(aliveAfter, func() { g.watch(ctx, client, cancel) })
 	defer watch.Stop()
-	reply, err := client.Run(ctx, requestMessage(time.Now(), shard, w))
+	request := requestMessage(time.Now(), shard, w)
+	request.Outlooks = g.outlooks.messages(time.Now())
+	reply, err := client.Run(ctx, request)
 	if err != nil {
 		return Answer{}, err
 	}
+	g.outlooks.take(time.Now(), reply.GetOutlooks())
 	results, err := resultsOf(reply.GetResults())
 	if err != nil {
 		return Answer{}, err
@@ -252,8 +231,7 @@
 	return Answer{
 		Results: results,
 		Failure: Failure(reply.GetFailure()),
-		Wait:    time.Duration(reply.GetWaitMs()) * time.Millisecond,
-		Call:    time.Duration(reply.GetCallMs()) * time.Millisecond,
+		Wait:    g.wait(shard),
 		Owner:   p.Address,
 	}, nil
 }
--- a/internal/stagepool/order.go
+++ b/internal/stagepool/order.go
@@ -4,6 +4,7 @@
 package stagepool
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -17,28 +18,89 @@
 	return oldest
 }
 
-// wait is how long new work that can be in time waits for the start of its
-// call, roughly: what is late already goes after it.
-func (s *scheduler) wait(now time.Time) time.Duration {
+// queue is how long new work that can be in time waits for the start of its
+// call, roughly: what is late already goes after it, and what is due sooner
+// before it.
+func (s *scheduler) queue(now time.Time) Queue {
+	var waits Queue
 	usable := s.usable(now)
 	if len(usable) == 0 {
-		return s.spec.CallTime
+		for i := range waits {
+			waits[i] = s.spec.CallTime
+		}
+		return waits
+	}
+	turn := time.Duration(0)
+	if s.busy(usable) {
+		turn = s.even(s.spec.Size) / time.Duration(2*len(usable))
+	}
+	rate := s.rate(now, len(usable))
+	for i, pieces := range s.ahead(now) {
+		waits[i] = turn + time.Duration(float64(pieces)/rate*float64(time.Second))
 	}
-	pieces := 0
+	return waits
+}
+
+// ahead is how many pieces wait that go before new work due within each of
+// dueSteps.
+func (s *scheduler) ahead(now time.Time) [len(dueSteps)]int {
+	var ahead [len(dueSteps)]int
 	for _, t := range s.waiting {
-		if !s.late(now, t) {
-			pieces += len(t.pending)
+		if s.late(now, t) {
+			continue
+		}
+		due := t.rank().Sub(now)
+		for i, step := range dueSteps {
+			if due <= step {
+				ahead[i] += len(t.pending)
+			}
 		}
 	}
-	rounds := float64(pieces) / float64(s.spec.Size*len(usable)*s.spec.Slots)
-	busy := 0
-	for _, state := range usable {
-		busy += len(state.running)
+	return ahead
+}
+
+// rate is how many pieces a second the pool makes when more waits than it
+// takes. Where it has been crowded for a while that was seen; before, it is what
+// full calls would make.
+func (s *scheduler) rate(now time.Time, servers int) float64 {
+	nominal := float64(s.spec.Size*servers*s.spec.Slots) / s.even(s.spec.Size).Seconds()
+	if s.crowdedSince.IsZero() || now.Sub(s.crowdedSince) < 2*paceSpan {
+		return nominal
 	}
-	if busy >= len(usable)*s.spec.Slots {
-		rounds += 0.5 / float64(len(usable))
+	return min(max(s.paced(now), paceLeast*nominal), nominal)
+}
+
+// noteCrowd notes whether more waits than free servers take.
+func (s *scheduler) noteCrowd(now time.Time) {
+	switch {
+	case len(s.waiting) == 0:
+		s.crowdedSince = time.Time{}
+	case s.crowdedSince.IsZero():
+		s.crowdedSince = now
 	}
-	return time.Duration(rounds * float64(s.even(s.spec.Size)))
+}
+
+func (s *scheduler) busy(servers []*serverState) bool {
+	running := 0
+	for _, state := range servers {
+		running += len(state.running)
+	}
+	return running >= len(servers)*s.spec.Slots
+}
+
+// paced is how many pieces a second the pool makes lately. Where room or slow
+// servers bound it, that is less than calls and servers would allow.
+func (s *scheduler) paced(now time.Time) float64 {
+	if s.pacedAt.IsZero() {
+		return 0
+	}
+	return s.pace * math.Exp(-now.Sub(s.pacedAt).Seconds()/paceSpan.Seconds())
+}
+
+// made counts pieces that were made.
+func (s *scheduler) made(now time.Time, pieces int) {
+	s.pace = s.paced(now) + float64(pieces)/paceSpan.Seconds()
+	s.pacedAt = now
 }
 
 // callTime is how long calls take lately.
@@ -76,7 +138,13 @@
 
 // rank orders tasks: by when they must end, with some time for each priority.
 func (t *task) rank() time.Time {
-	return t.Latest.Add(time.Duration(t.Priority) * priorityTime)
+	return t.Latest.Add(PriorityTime(t.Priority))
+}
+
+// PriorityTime is how much later work of a priority is taken to be due than the
+// most urgent.
+func PriorityTime(priority int) time.Duration {
+	return time.Duration(priority) * priorityTime
 }
 
 // giveUp ends tasks that would not be reached before they are of no use, so that
--- a/internal/stagepool/outcome.go
+++ b/internal/stagepool/outcome.go
@@ -83,6 +83,7 @@
 	if worked(outcomes) {
 		state.factor += factorGain * (now.Sub(b.began).Seconds()/s.even(len(b.items)).Seconds() - state.factor)
 	}
+	s.made(now, countMade(outcomes))
 	var unwanted []Result
 	var again []sent
 	for i, item := range b.items {
@@ -127,6 +128,16 @@
 	return !slices.ContainsFunc(outcomes, func(o Outcome) bool { return o.Failure != "" })
 }
 
+func countMade(outcomes []Outcome) int {
+	count := 0
+	for _, o := range outcomes {
+		if o.Failure == "" {
+			count++
+		}
+	}
+	return count
+}
+
 func (s *scheduler) remove(b *batch) {
 	b.server.running = slices.DeleteFunc(b.server.running, func(other *batch) bool { return other == b })
 }
--- /dev/null
+++ b/internal/stagepool/outlook_test.go
@@ -0,0 +1,101 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package stagepool_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/stagepool"
+)
+
+func TestTheNewestOutlookIsBelievedForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mine, other := stagepool.NewOutlooks(), stagepool.NewOutlooks()
+		mine.Note("read", 300*time.Millisecond, time.Now())
+		time.Sleep(100 * time.Millisecond)
+		other.Note("read", 500*time.Millisecond, time.Now())
+		other.Tell(mine)
+		got, ok := mine.Wait("read")
+		assert.Assert(t, ok && got == 500*time.Millisecond, "got %v", got)
+		mine.Note("read", time.Second, time.Now().Add(-time.Millisecond))
+		got, _ = mine.Wait("read")
+		assert.Equal(t, got, 500*time.Millisecond, "an older one is not taken")
+		time.Sleep(2 * time.Second)
+		_, ok = mine.Wait("read")
+		assert.Assert(t, !ok, "too old")
+	})
+}
+
+func TestAnOutlookThatIsPassedOnKeepsItsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := stagepool.NewOutlooks(), stagepool.NewOutlooks()
+		first.Note("read", time.Second, time.Now())
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			first.Tell(second)
+			second.Tell(first)
+		}
+		_, ok := second.Wait("read")
+		assert.Assert(t, !ok, "two hosts keep an old outlook alive")
+	})
+}
+
+func TestAMessageHasABoundedNumberOfOutlooks(t *testing.T) {
+	mine, other := stagepool.NewOutlooks(), stagepool.NewOutlooks()
+	for i := range 40 {
+		mine.Note(fmt.Sprint(i), time.Second, time.Now().Add(-time.Duration(i)*time.Millisecond))
+	}
+	mine.Tell(other)
+	_, newest := other.Wait("0")
+	_, oldest := other.Wait("39")
+	assert.Assert(t, newest && !oldest)
+}
+
+// A host that asks for one pool hears of the others from its owner.
+func TestOwnersPassOnWhatTheyHearOfOtherPools(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		_, groups := newFleet(ctx, 5, server(1, "a"))
+		for _, g := range groups {
+			g.Configure(
+				map[string]stagepool.Spec{"read": spec, "rank": spec},
+				map[string][]stagepool.Server{"read": {server(1, "a")}, "rank": {server(2, "a")}},
+			)
+		}
+		run := func(g *stagepool.Group, service string) {
+			w := work(service, 1)
+			w.Service, w.Latest, w.Deadline = service, time.Now().Add(time.Second), time.Now().Add(8*time.Second)
+			assert.Equal(t, g.Run(ctx, w).Failure, stagepool.Failure(""))
+		}
+		run(groups[0], "rank")
+		run(groups[0], "read")
+		run(groups[1], "read")
+		_, ok := groups[1].Outlook("rank")
+		assert.Assert(t, ok, "it never asked for that pool")
+		cancel()
+	})
+}
+
+// Urgent work goes before the rest, so only the urgent that waits counts for it.
+func TestWorkThatIsDueSoonerWaitsLess(t *testing.T) {
+	s := stagepool.NewScheduler(spec, server(1, "a"))
+	s.Add(start, work("running", 8))
+	next(t, s, start)
+	for i := range 4 {
+		w := work(fmt.Sprint(i), 8)
+		w.Latest = start.Add(2 * time.Second)
+		s.Add(start, w)
+	}
+	waits := s.Queue(start)
+	call := spec.CallTime + 8*spec.PieceTime
+	assert.Assert(t, waits.Before(time.Second) <= call, "got %v", waits.Before(time.Second))
+	assert.Assert(t, waits.Before(3*time.Second) >= 4*call, "got %v", waits.Before(3*time.Second))
+}
--- a/internal/stagepool/pool.go
+++ b/internal/stagepool/pool.go
@@ -80,10 +80,10 @@
 }
 
 // times returns how long new work waits, and how long calls take, roughly.
-func (p *Pool) times() (wait, call time.Duration) {
+func (p *Pool) times() (waits Queue, call time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.scheduler.wait(time.Now()), p.scheduler.callTime()
+	return p.scheduler.queue(time.Now()), p.scheduler.callTime()
 }
 
 // run makes the pieces of w and returns a result for each, or why there is
@@ -127,6 +127,7 @@
 		b.cancel = cancel
 		p.calls.Go(func() { p.call(ctx, b) })
 	}
+	p.scheduler.noteCrowd(now)
 	p.tell(now)
 	if (again || len(p.scheduler.waiting) > 0) && !p.timed && p.ctx.Err() == nil {
 		p.timed = true
--- a/internal/stagepool/scheduler.go
+++ b/internal/stagepool/scheduler.go
@@ -15,9 +15,10 @@
 	// its zone: the platform's price of one gigabyte that crosses zones is some
 	// ten requests' worth.
 	heavyBytes = 256 << 10
-	// zonePatience is how long heavy work waits for a server of its zone: a call
-	// of one of a few servers ends in that time.
-	zonePatience = 200 * time.Millisecond
+	// zonePatience is how long heavy work waits for a server of its zone, about
+	// two calls. The inputs of one stage that crosses zones are priced like a
+	// small request.
+	zonePatience = 500 * time.Millisecond
 	// slowFactor is how much slower than the quickest a server must be to get
 	// work only when no other is left.
 	slowFactor = 2.5
@@ -50,6 +51,11 @@
 	// may take before its pieces are sent to another server.
 	overdueFactor = 2.0
 	overdueSlack  = 120 * time.Millisecond
+	// paceSpan is over how long the pace of a pool is averaged: a few calls.
+	paceSpan = 700 * time.Millisecond
+	// paceLeast is the least share of its nominal pace that a pool is taken to
+	// reach when more work comes than before.
+	paceLeast = 0.5
 	// recheck is how soon servers whose calls are overdue are looked at again.
 	recheck = 50 * time.Millisecond
 )
@@ -63,6 +69,12 @@
 	waiting []*task
 	// lately is the average time of the last calls, as their pieces have it.
 	lately time.Duration
+	// pace is how many pieces were made a second, over paceSpan, as of pacedAt.
+	pace    float64
+	pacedAt time.Time
+	// crowdedSince is from when on some work has always waited for a server;
+	// zero where none waits.
+	crowdedSince time.Time
 }
 
 func newScheduler(spec Spec) *scheduler {
