--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/wingvale/wingvale/client"
@@ -15,6 +17,7 @@
 	"github.com/wingvale/wingvale/internal/settings"
 	"github.com/wingvale/wingvale/internal/sites"
 	"github.com/wingvale/wingvale/internal/standin"
+	platformstandin "github.com/wingvale/wingvale/platform/standin"
 	"github.com/wingvale/wingvale/request"
 )
 
@@ -22,6 +25,9 @@
 	Nodes int           `default:"3" help:"Entry hosts for each site."`
 	Rate  float64       `default:"60" help:"Requests a second while a node and a backend server stop."`
 	For   time.Duration `default:"6s" help:"How long to offer them."`
+	// Platform shows whole nodes with the adapter instead.
+	Platform bool   `help:"Show nodes on a stand-in of the users' platform, with random faults, in memory."`
+	Seed     uint64 `default:"1" help:"Which faults come with --platform."`
 }
 
 // demoSite tells which workspace and pipeline a site is shown with, and which
@@ -40,8 +46,11 @@
 	}
 }
 
-// Run shows both sites.
+// Run shows both sites, or the users' platform.
 func (c demoCommand) Run(o *output) error {
+	if c.Platform {
+		return c.showPlatform(o)
+	}
 	for _, d := range demoSites() {
 		if err := c.show(o, d); err != nil {
 			return fmt.Errorf("%s: %w", d.site.Name, err)
@@ -51,6 +60,40 @@
 	return nil
 }
 
+// settleFor is how long the nodes on the stand-in of the platform rest after the
+// last fault: its servers that leave go on for 9 s.
+const settleFor = 10 * time.Second
+
+// showPlatform runs nodes with the adapter under random faults, and tells what
+// callers were told and which promises were broken.
+func (c demoCommand) showPlatform(o *output) error {
+	o.printf("%d nodes on a stand-in of the platform; faults of seed %d for %v\n", c.Nodes, c.Seed, c.For)
+	report, err := platformstandin.Campaign(context.Background(), platformstandin.CampaignOptions{
+		Nodes: c.Nodes, Seed: c.Seed, For: c.For, Settle: settleFor,
+	})
+	if err != nil {
+		return err
+	}
+	printCounts(o, "faults", report.Faults)
+	printCounts(o, "callers were told", report.Outcomes)
+	o.printf("at rest again: %d of %d requests served\n", report.Served, report.After)
+	for _, breach := range report.Breaches {
+		o.printf("broken promise: %s\n", breach)
+	}
+	if len(report.Breaches) > 0 || report.Served == 0 {
+		return fmt.Errorf("%d broken promises, %d requests served at the end", len(report.Breaches), report.Served)
+	}
+	return nil
+}
+
+func printCounts(o *output, what string, counts map[string]int) {
+	o.printf("%s:", what)
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		o.printf(" %s %d;", name, counts[name])
+	}
+	o.printf("\n")
+}
+
 const demoStart = 20 * time.Second
 
 func (c demoCommand) show(o *output, d demoSite) error {
