internal/enginepool: copy shared parts of prompts between engines

A hot prompt that left its home, or whose home was replaced, was read anew at the next engine.

Change: where the engine chosen lacks 1,000 shared tokens or more that another has read (a second ago or longer, within 30 s, neither leaving nor failing), the send names that engine and it copies them. The choice weighs the copy's time and price (58 ms a gigabyte beside the copy itself) instead of the reading's. Memory a token and link come from the configuration; without them nothing is copied.

What is left: prompts whose only keeper was replaced.

--- a/internal/enginepool/book.go
+++ b/internal/enginepool/book.go
@@ -4,6 +4,7 @@
 package enginepool
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -53,8 +54,13 @@
 // Engine is one engine as it is published.
 type Engine struct {
 	Instance string
+	Address  netip.AddrPort
 	Zone     string
 	Leaving  bool
+	// TokenBytes is how much memory a token takes and Link how many bytes a
+	// second an engine sends or takes in; 0 where engines copy nothing.
+	TokenBytes int64
+	Link       float64
 }
 
 // Prompt is what matters of a request for its place.
@@ -99,8 +105,14 @@
 	engines map[string]*engine
 	// since is when the owner began to place prompts.
 	since time.Time
-	// warm has for each shared part the engines that read it, and when last.
-	warm *lru.Cache[uint64, map[string]time.Time]
+	// warm has for each shared part the engines that read it.
+	warm *lru.Cache[uint64, map[string]reading]
+}
+
+// reading is when a shared part was first and last placed on an engine.
+type reading struct {
+	first time.Time
+	last  time.Time
 }
 
 type engine struct {
@@ -112,7 +124,7 @@
 
 func newBook() *book {
 	// The only error is a size below 1.
-	warm, _ := lru.New[uint64, map[string]time.Time](warmMost)
+	warm, _ := lru.New[uint64, map[string]reading](warmMost)
 	return &book{engines: make(map[string]*engine), warm: warm}
 }
 
@@ -149,8 +161,9 @@
 	var best *engine
 	var bestCost time.Duration
 	ranks := b.ranks(p)
+	from := b.source(now, p)
 	for _, e := range b.usable(now, p.Except) {
-		cost := b.cost(now, e, p, ranks)
+		cost := b.cost(now, e, p, ranks, from)
 		if best == nil || cost < bestCost || cost == bestCost && e.Instance < best.Instance {
 			best, bestCost = e, cost
 		}
@@ -158,13 +171,17 @@
 	if best == nil {
 		return Place{}
 	}
-	missing := b.missing(now, best, p)
-	even := ReadTime(p.SharedTokens-missing, missing+p.OwnTokens)
+	plan := planOf(best, p, b.missing(now, best, p), from)
+	even := plan.time(best, p)
 	wait := max(best.freeAt.Sub(now), 0)
 	best.freeAt = now.Add(wait + time.Duration(float64(even)*best.health.Ratio(now)))
 	b.remember(now, p.First, best.Instance)
 	b.remember(now, p.Shared, best.Instance)
-	return Place{Instance: best.Instance, Wait: wait, Expected: wait + even + Overhead}
+	place := Place{Instance: best.Instance, Wait: wait, Expected: wait + even + Overhead}
+	if plan.copied > 0 {
+		place.Source = plan.source.Address
+	}
+	return place
 }
 
 func (b *book) usable(now time.Time, except []string) []*engine {
@@ -228,15 +245,14 @@
 
 // cost is how long the first event takes at an engine, with the prices of
 // reading again and of crossing zones as time.
-func (b *book) cost(now time.Time, e *engine, p Prompt, ranks map[string]int) time.Duration {
+func (b *book) cost(now time.Time, e *engine, p Prompt, ranks map[string]int, from keeper) time.Duration {
 	missing := b.missing(now, e, p)
 	rank, home := ranks[e.Instance]
 	if home && rank == 0 && now.Sub(b.since) < youngFor {
 		missing = int(youngDoubt * float64(missing))
 	}
-	even := ReadTime(p.SharedTokens-missing, missing+p.OwnTokens)
-	cost := max(e.freeAt.Sub(now), 0) + time.Duration(float64(even)*e.health.Ratio(now))
-	cost += time.Duration(missing) * rereadCost
+	plan := planOf(e, p, missing, from)
+	cost := max(e.freeAt.Sub(now), 0) + time.Duration(float64(plan.time(e, p))*e.health.Ratio(now)) + plan.price(e)
 	if p.Zone != "" && e.Zone != p.Zone {
 		cost += time.Duration(float64(p.InputBytes) / 1e6 * float64(crossCost))
 	}
@@ -249,7 +265,7 @@
 
 func (b *book) isWarm(now time.Time, part uint64, instance string) bool {
 	engines, ok := b.warm.Get(part)
-	return ok && now.Sub(engines[instance]) < warmFor
+	return ok && now.Sub(engines[instance].last) < warmFor
 }
 
 func (b *book) remember(now time.Time, part uint64, instance string) {
@@ -258,13 +274,18 @@
 	}
 	engines, ok := b.warm.Get(part)
 	if !ok {
-		engines = make(map[string]time.Time)
+		engines = make(map[string]reading)
 		b.warm.Add(part, engines)
 	}
-	for name, at := range engines {
-		if now.Sub(at) > warmFor {
+	for name, r := range engines {
+		if now.Sub(r.last) > warmFor {
 			delete(engines, name)
 		}
 	}
-	engines[instance] = now
+	r, ok := engines[instance]
+	if !ok {
+		r.first = now
+	}
+	r.last = now
+	engines[instance] = r
 }
--- a/internal/enginepool/book_test.go
+++ b/internal/enginepool/book_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -51,6 +52,38 @@
 	assert.Equal(t, b.Place(now, prompt(2)).Wait, time.Duration(0))
 }
 
+// Where the home of a prompt is far behind, another engine copies what it keeps
+// instead of reading it again.
+func TestAPromptIsCopiedWhereItsHomeIsBehind(t *testing.T) {
+	list := engines(18)
+	for i := range list {
+		list[i].Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
+		list[i].TokenBytes, list[i].Link = 163840, 1.4e11
+	}
+	b := enginepool.NewBook(list...)
+	first := b.Place(start, prompt(1))
+	assert.Assert(t, !first.Source.IsValid(), "nobody keeps it yet")
+	early := b.Place(start.Add(100*time.Millisecond), enginepool.Prompt{
+		First: 1, Shared: 1, FirstTokens: 13000, SharedTokens: 13000, OwnTokens: 3000, Except: []string{first.Instance},
+	})
+	assert.Assert(t, !early.Source.IsValid(), "it is being read")
+	now := start.Add(3 * time.Second)
+	copies := 0
+	for range 12 {
+		place := b.Place(now, prompt(1))
+		if place.Source.IsValid() {
+			copies++
+			assert.Assert(t, place.Expected-place.Wait < 200*time.Millisecond, "a copy is quick, got %v", place.Expected)
+		}
+	}
+	assert.Assert(t, copies > 0)
+	for i := range list {
+		list[i].Leaving = list[i].Instance == first.Instance || list[i].Instance == early.Instance
+	}
+	b = enginepool.NewBook(list[:3]...)
+	assert.Assert(t, !b.Place(now, prompt(7)).Source.IsValid())
+}
+
 func TestANewOwnerFindsTheHomes(t *testing.T) {
 	old, young := enginepool.NewBook(engines(18)...), enginepool.NewBook(engines(18)...)
 	same := 0
--- a/internal/enginepool/group.go
+++ b/internal/enginepool/group.go
@@ -5,13 +5,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
+	"github.com/twitchtv/twirp"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/wingvale/wingvale/internal/enginepool/enginepb"
@@ -101,6 +104,9 @@
 	// should take, as far as is known.
 	Wait     time.Duration
 	Expected time.Duration
+	// Source is the engine to copy shared parts of the prompt from; the zero
+	// address is none.
+	Source netip.AddrPort
 }
 
 // Place asks the owner of the prompt's engines for the best one, or decides
@@ -164,11 +170,17 @@
 	if err != nil {
 		return Place{}, err
 	}
-	return Place{
+	place := Place{
 		Instance: reply.GetInstance(),
 		Wait:     time.Duration(reply.GetWaitMs()) * time.Millisecond,
 		Expected: time.Duration(reply.GetExpectedMs()) * time.Millisecond,
-	}, nil
+	}
+	if source := reply.GetSource(); len(source) > 0 {
+		if err := place.Source.UnmarshalBinary(source); err != nil {
+			return Place{}, fmt.Errorf("enginepool: source %x: %w", source, err)
+		}
+	}
+	return place, nil
 }
 
 // Handler returns what serves the other hosts, and the path it serves under.
@@ -201,7 +213,15 @@
 		Except:       in.GetExcept(),
 	}
 	place := s.g.placeHere(in.GetService(), p, reports)
-	return &enginepb.PlaceReply{Instance: place.Instance, WaitMs: place.Wait.Milliseconds(), ExpectedMs: place.Expected.Milliseconds()}, nil
+	reply := &enginepb.PlaceReply{Instance: place.Instance, WaitMs: place.Wait.Milliseconds(), ExpectedMs: place.Expected.Milliseconds()}
+	if place.Source.IsValid() {
+		source, err := place.Source.MarshalBinary()
+		if err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+		reply.Source = source
+	}
+	return reply, nil
 }
 
 func promptMessage(shard string, p Prompt, reports []Report) *enginepb.PlaceRequest {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -395,7 +395,10 @@
 	byService := make(map[string][]enginepool.Engine)
 	for _, s := range servers {
 		if service := catalog.Service(s.Service); service != nil && service.Engine != nil {
-			byService[s.Service] = append(byService[s.Service], enginepool.Engine{Instance: s.Instance, Zone: s.Zone, Leaving: s.Leaving})
+			byService[s.Service] = append(byService[s.Service], enginepool.Engine{
+				Instance: s.Instance, Address: s.Address, Zone: s.Zone, Leaving: s.Leaving,
+				TokenBytes: service.Engine.TokenBytes, Link: service.Engine.Link,
+			})
 		}
 	}
 	return byService
--- a/internal/relay/catalog.go
+++ b/internal/relay/catalog.go
@@ -96,6 +96,10 @@
 type Engine struct {
 	Slots  int
 	Tokens int
+	// TokenBytes is how much memory a token takes, and Link how many bytes a
+	// second an engine sends; 0 where it is not told.
+	TokenBytes int64
+	Link       float64
 }
 
 // Batch describes a stage server.
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/wingvale/wingvale/internal/enginepool"
@@ -113,7 +114,7 @@
 			return Server{}, false
 		}
 		if engine, ok := j.core.servers.take(place.Instance); ok {
-			s.expected = place.Expected
+			s.expected, s.source = place.Expected, place.Source
 			return engine, true
 		}
 		s.prompt.Except = append(s.prompt.Except, place.Instance)
@@ -155,6 +156,8 @@
 	// expected is how long the first event should take at the engine chosen
 	// last.
 	expected time.Duration
+	// source is where that engine copies shared parts of the prompt from.
+	source netip.AddrPort
 }
 
 // ended notes how an engine did: how long its first event took, 0 for none.
@@ -206,7 +209,7 @@
 	began := time.Now()
 	w := s.watch(cancel)
 	defer w.stop()
-	answer, head, err := j.send(ctx, engine, g.inputs(), s.split.last)
+	answer, head, err := j.send(ctx, engine, g.inputs(), s.split.last, s.source)
 	if err != nil {
 		s.ended(engine, 0, !head.NotRun && !left(ctx))
 		if head.Gone {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/wingvale/wingvale/internal/exchange"
@@ -159,7 +160,7 @@
 func (j *job) exchange(ctx context.Context, s Server) *reply {
 	began := time.Now()
 	r := &reply{server: s}
-	r.answer, r.head, r.err = j.send(ctx, s, nil, "")
+	r.answer, r.head, r.err = j.send(ctx, s, nil, "", netip.AddrPort{})
 	if r.err == nil {
 		r.body, r.err = io.ReadAll(io.LimitReader(r.answer.Body, wholeMost))
 		r.rest = r.err == nil && len(r.body) == wholeMost
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"time"
 )
 
@@ -61,6 +62,9 @@
 	Inputs []string
 	// LastEvent is the event after which a stream goes on; empty is the start.
 	LastEvent string
+	// CopyFrom is an engine that keeps parts of the prompt; the zero address is
+	// none.
+	CopyFrom netip.AddrPort
 }
 
 // Head is what a dialect reads from the head of a server's answer.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/wingvale/wingvale/internal/exchange"
@@ -19,7 +20,7 @@
 // send sends the request to a server once. It returns the answer's head with
 // its body unread. The error bears a verdict; NotRun includes that the server
 // said so. The server's running count is kept until core.servers.ended.
-func (j *job) send(ctx context.Context, s Server, inputs []string, lastEvent string) (*exchange.Answer, Head, error) {
+func (j *job) send(ctx context.Context, s Server, inputs []string, lastEvent string, copyFrom netip.AddrPort) (*exchange.Answer, Head, error) {
 	left := j.left()
 	if left <= 0 {
 		return nil, Head{}, verdict.New(verdict.NotRun, ReasonTimeout, "relay: no time left")
@@ -31,7 +32,7 @@
 		Method:  j.Method,
 		Target:  j.Target,
 		Host:    j.Host,
-		Header:  o.Dialect.Header(j.Request, Send{Instance: s.Instance, Left: left, Workspace: j.workspace.Name, Inputs: inputs, LastEvent: lastEvent}),
+		Header:  o.Dialect.Header(j.Request, Send{Instance: s.Instance, Left: left, Workspace: j.workspace.Name, Inputs: inputs, LastEvent: lastEvent, CopyFrom: copyFrom}),
 		Body:    j.Body,
 		Fresh:   !j.route.Repeatable,
 		Mine:    func(status int, h http.Header) bool { return o.Dialect.Mine(j.ID, status, h) },
