--- a/cmd/wingvaled/main.go
+++ b/cmd/wingvaled/main.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -32,7 +33,8 @@
 }
 
 type platformCommand struct {
-	Settings string `arg:"" optional:"" type:"path" help:"The node's settings, an INI file; by default where the platform puts them."`
+	Settings    string        `arg:"" optional:"" type:"path" help:"The node's settings, an INI file; by default where the platform puts them."`
+	ClockOffset time.Duration `help:"Added to the time of day that the node reads; for tests of clocks that are wrong."`
 }
 
 // settingsError is what is wrong with settings.
@@ -60,6 +62,7 @@
 	if err != nil {
 		return settingsError{err}
 	}
+	s.ClockOffset = c.ClockOffset
 	return daemon.RunGateway(path, s, os.Stdout)
 }
 
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -110,7 +110,7 @@
 		Peer:        s.Peer,
 		Zone:        s.Zone,
 		Incarnation: request.Incarnation(random.Uint64()),
-		Beat:        uint64(now.UnixMilli()),
+		Beat:        uint64(now.Add(s.ClockOffset).UnixMilli()),
 		Capacity:    capacityOf(s),
 	}, now, fleet.Options{})
 	n.gossip = peer.New(peer.Options{
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -49,6 +49,8 @@
 	RetryWindow  time.Duration
 	// LogLevel says what is logged.
 	LogLevel logrus.Level
+	// ClockOffset is added to the time of day. It is in no file: tests set it.
+	ClockOffset time.Duration
 }
 
 // DefaultGateway returns settings without addresses.
@@ -79,6 +81,7 @@
 // NeedsRestart reports whether g differs from old in what a running node cannot
 // change.
 func (g Gateway) NeedsRestart(old Gateway) bool {
+	g.ClockOffset = old.ClockOffset
 	g.LogLevel, g.RetryShare, g.RetryReserve, g.RetryWindow = old.LogLevel, old.RetryShare, old.RetryReserve, old.RetryWindow
 	return !reflect.DeepEqual(g, old)
 }
