--- a/internal/relay/shed.go
+++ b/internal/relay/shed.go
@@ -91,8 +91,8 @@
 func (g *graph) waitsSum(slack time.Duration) time.Duration {
 	j := g.job
 	return g.longest(len(j.route.Stages), func(service string) time.Duration {
-		outlook, _ := j.core.options.Stages.Outlook(service)
-		return outlook.Waits.Before(slack + outlook.Call + stagepool.PriorityTime(j.priority()))
+		backlog, _ := j.core.options.Stages.Backlog(service)
+		return backlog.Waits.Before(slack + backlog.Call + stagepool.PriorityTime(j.priority()))
 	})
 }
 
@@ -126,11 +126,11 @@
 // time to come back, and another when half of its time is over, so that its
 // caller hears of it. Where it is slow and nothing waits, coming back is no better.
 func (j *job) useful(service string) time.Time {
-	outlook, _ := j.core.options.Stages.Outlook(service)
+	backlog, _ := j.core.options.Stages.Backlog(service)
 	switch {
 	case j.ran() > 0:
 		return j.deadline
-	case outlook.Waits.Longest() < crowdedFrom:
+	case backlog.Waits.Longest() < crowdedFrom:
 		return j.firstBy
 	case j.fresh():
 		return earlier(j.firstBy, j.objective.Add(lateFor))
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -103,8 +103,8 @@
 	var longest time.Duration
 	for i, stage := range g.job.route.Stages {
 		if g.job.pieces(i) > 0 {
-			outlook, _ := g.job.core.options.Stages.Outlook(stage.Service)
-			longest = max(longest, outlook.Waits.Longest())
+			backlog, _ := g.job.core.options.Stages.Backlog(stage.Service)
+			longest = max(longest, backlog.Waits.Longest())
 		}
 	}
 	return longest
@@ -126,11 +126,11 @@
 	if s == nil || s.Batch == nil {
 		return 0
 	}
-	outlook, known := j.core.options.Stages.Outlook(service)
+	backlog, known := j.core.options.Stages.Backlog(service)
 	if !known {
 		return time.Duration(stageFactor*float64(s.Batch.CallTime)) + stageTurn
 	}
-	return outlook.Call + stageTurn
+	return backlog.Call + stageTurn
 }
 
 // run makes all pieces, each stage as soon as those before it have ended, but
--- a/internal/stagepool/outlook.go
+++ b/internal/stagepool/backlog.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	// outlookFor is how long what a pool said of its waiting work is believed:
+	// backlogFor is how long what a pool said of its waiting work is believed:
 	// a few calls.
-	outlookFor = 1500 * time.Millisecond
-	// outlooksMost bounds the outlooks in one message, the newest first.
-	outlooksMost = 16
+	backlogFor = 1500 * time.Millisecond
+	// backlogsMost bounds the backlogs in one message, the newest first.
+	backlogsMost = 16
 )
 
 // dueSteps are how soon work is due, from now, that a Queue has waits for; the
@@ -47,8 +47,8 @@
 	return q[len(q)-1]
 }
 
-// Outlook is what the owner of a shard's servers last said of them.
-type Outlook struct {
+// Backlog is what the owner of a shard's servers last said of them.
+type Backlog struct {
 	// Waits is how long new work that can be in time waits there.
 	Waits Queue
 	// Call is how long a call takes.
@@ -57,65 +57,65 @@
 	At time.Time
 }
 
-// outlooks has the newest outlook of each shard that is known of. Owners hear
+// backlogs has the newest backlog of each shard that is known of. Owners hear
 // those of other pools from the hosts that ask them and pass them on, so that a
 // host which asks seldom still knows of all pools. It is safe for concurrent use.
-type outlooks struct {
+type backlogs struct {
 	mu      sync.Mutex
-	byShard map[string]Outlook
+	byShard map[string]Backlog
 }
 
-func newOutlooks() *outlooks {
-	return &outlooks{byShard: make(map[string]Outlook)}
+func newBacklogs() *backlogs {
+	return &backlogs{byShard: make(map[string]Backlog)}
 }
 
-// note takes an outlook in unless a newer one is known.
-func (o *outlooks) note(shard string, outlook Outlook) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if known, ok := o.byShard[shard]; ok && known.At.After(outlook.At) {
+// note takes a backlog in unless a newer one is known.
+func (b *backlogs) note(shard string, backlog Backlog) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if known, ok := b.byShard[shard]; ok && known.At.After(backlog.At) {
 		return
 	}
-	o.byShard[shard] = outlook
+	b.byShard[shard] = backlog
 }
 
-// of returns the outlook of a shard, and reports whether it is still believed.
-func (o *outlooks) of(shard string) (Outlook, bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	outlook, ok := o.byShard[shard]
-	return outlook, ok && time.Since(outlook.At) <= outlookFor
+// of returns the backlog of a shard, and reports whether it is still believed.
+func (b *backlogs) of(shard string) (Backlog, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	backlog, ok := b.byShard[shard]
+	return backlog, ok && time.Since(backlog.At) <= backlogFor
 }
 
-// messages returns the outlooks that are still believed, and forgets the rest.
-func (o *outlooks) messages(now time.Time) []*stagepb.Outlook {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	var messages []*stagepb.Outlook
-	for shard, outlook := range o.byShard {
-		age := now.Sub(outlook.At)
-		if age > outlookFor {
-			delete(o.byShard, shard)
+// messages returns the backlogs that are still believed, and forgets the rest.
+func (b *backlogs) messages(now time.Time) []*stagepb.Backlog {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var messages []*stagepb.Backlog
+	for shard, backlog := range b.byShard {
+		age := now.Sub(backlog.At)
+		if age > backlogFor {
+			delete(b.byShard, shard)
 			continue
 		}
-		m := &stagepb.Outlook{Shard: shard, CallMs: outlook.Call.Milliseconds(), AgeMs: age.Milliseconds()}
-		for _, wait := range outlook.Waits {
+		m := &stagepb.Backlog{Shard: shard, CallMs: backlog.Call.Milliseconds(), AgeMs: age.Milliseconds()}
+		for _, wait := range backlog.Waits {
 			m.WaitsMs = append(m.WaitsMs, wait.Milliseconds())
 		}
 		messages = append(messages, m)
 	}
-	slices.SortFunc(messages, func(a, b *stagepb.Outlook) int { return cmp.Compare(a.GetAgeMs(), b.GetAgeMs()) })
-	return messages[:min(len(messages), outlooksMost)]
+	slices.SortFunc(messages, func(a, b *stagepb.Backlog) int { return cmp.Compare(a.GetAgeMs(), b.GetAgeMs()) })
+	return messages[:min(len(messages), backlogsMost)]
 }
 
 // take takes in what another host knows.
-func (o *outlooks) take(now time.Time, messages []*stagepb.Outlook) {
-	for _, m := range messages[:min(len(messages), outlooksMost)] {
-		outlook := Outlook{Call: milliseconds(m.GetCallMs()), At: now.Add(-milliseconds(m.GetAgeMs()))}
-		for i, wait := range m.GetWaitsMs()[:min(len(m.GetWaitsMs()), len(outlook.Waits))] {
-			outlook.Waits[i] = milliseconds(wait)
+func (b *backlogs) take(now time.Time, messages []*stagepb.Backlog) {
+	for _, m := range messages[:min(len(messages), backlogsMost)] {
+		backlog := Backlog{Call: milliseconds(m.GetCallMs()), At: now.Add(-milliseconds(m.GetAgeMs()))}
+		for i, wait := range m.GetWaitsMs()[:min(len(m.GetWaitsMs()), len(backlog.Waits))] {
+			backlog.Waits[i] = milliseconds(wait)
 		}
-		o.note(m.GetShard(), outlook)
+		b.note(m.GetShard(), backlog)
 	}
 }
 
@@ -124,31 +124,31 @@
 	return time.Duration(max(count, 0)) * time.Millisecond
 }
 
-// Outlook returns what is known of a service's servers; where they are split
+// Backlog returns what is known of a service's servers; where they are split
 // over shards, the mean of those that are known of. It reports false where
 // nothing recent is known.
-func (g *Group) Outlook(service string) (Outlook, bool) {
+func (g *Group) Backlog(service string) (Backlog, bool) {
 	g.mu.Lock()
 	shards := g.shardsOf(service)
 	g.mu.Unlock()
-	var sum Outlook
+	var sum Backlog
 	known := time.Duration(0)
 	for _, shard := range shards {
-		if outlook, ok := g.outlooks.of(shard); ok {
-			for i, wait := range outlook.Waits {
+		if backlog, ok := g.backlogs.of(shard); ok {
+			for i, wait := range backlog.Waits {
 				sum.Waits[i] += wait
 			}
-			sum.Call += outlook.Call
+			sum.Call += backlog.Call
 			known++
 		}
 	}
 	if known == 0 {
-		return Outlook{}, false
+		return Backlog{}, false
 	}
 	for i := range sum.Waits {
 		sum.Waits[i] /= known
 	}
-	return Outlook{Waits: sum.Waits, Call: sum.Call / known, At: time.Now()}, true
+	return Backlog{Waits: sum.Waits, Call: sum.Call / known, At: time.Now()}, true
 }
 
 // shardsOf returns the names of a service's shards. The mutex must be held.
@@ -165,10 +165,10 @@
 	return slices.Compact(shards)
 }
 
-// refresh notes the outlook of one of this host's own pools.
-func (g *Group) refresh(shard string, pool *Pool) Outlook {
+// refresh notes the backlog of one of this host's own pools.
+func (g *Group) refresh(shard string, pool *Pool) Backlog {
 	waits, call := pool.times()
-	outlook := Outlook{Waits: waits, Call: call, At: time.Now()}
-	g.outlooks.note(shard, outlook)
-	return outlook
+	backlog := Backlog{Waits: waits, Call: call, At: time.Now()}
+	g.backlogs.note(shard, backlog)
+	return backlog
 }
--- a/internal/stagepool/outlook_test.go
+++ b/internal/stagepool/backlog_test.go
@@ -15,9 +15,9 @@
 	"github.com/wingvale/wingvale/internal/stagepool"
 )
 
-func TestTheNewestOutlookIsBelievedForAWhile(t *testing.T) {
+func TestTheNewestBacklogIsBelievedForAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		mine, other := stagepool.NewOutlooks(), stagepool.NewOutlooks()
+		mine, other := stagepool.NewBacklogs(), stagepool.NewBacklogs()
 		mine.Note("read", 300*time.Millisecond, time.Now())
 		time.Sleep(100 * time.Millisecond)
 		other.Note("read", 500*time.Millisecond, time.Now())
@@ -33,9 +33,9 @@
 	})
 }
 
-func TestAnOutlookThatIsPassedOnKeepsItsAge(t *testing.T) {
+func TestAnBacklogThatIsPassedOnKeepsItsAge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		first, second := stagepool.NewOutlooks(), stagepool.NewOutlooks()
+		first, second := stagepool.NewBacklogs(), stagepool.NewBacklogs()
 		first.Note("read", time.Second, time.Now())
 		for range 20 {
 			time.Sleep(100 * time.Millisecond)
@@ -43,12 +43,12 @@
 			second.Tell(first)
 		}
 		_, ok := second.Wait("read")
-		assert.Assert(t, !ok, "two hosts keep an old outlook alive")
+		assert.Assert(t, !ok, "two hosts keep an old backlog alive")
 	})
 }
 
-func TestAMessageHasABoundedNumberOfOutlooks(t *testing.T) {
-	mine, other := stagepool.NewOutlooks(), stagepool.NewOutlooks()
+func TestAMessageHasABoundedNumberOfBacklogs(t *testing.T) {
+	mine, other := stagepool.NewBacklogs(), stagepool.NewBacklogs()
 	for i := range 40 {
 		mine.Note(fmt.Sprint(i), time.Second, time.Now().Add(-time.Duration(i)*time.Millisecond))
 	}
@@ -78,7 +78,7 @@
 		run(groups[0], "rank")
 		run(groups[0], "read")
 		run(groups[1], "read")
-		_, ok := groups[1].Outlook("rank")
+		_, ok := groups[1].Backlog("rank")
 		assert.Assert(t, ok, "it never asked for that pool")
 		cancel()
 	})
--- a/internal/stagepool/export_test.go
+++ b/internal/stagepool/export_test.go
@@ -71,28 +71,28 @@
 // Results returns a task's results.
 func (t Task) Results() []Result { return t.t.results }
 
-// Outlooks is what one host knows of all pools.
-type Outlooks struct{ o *outlooks }
+// Backlogs is what one host knows of all pools.
+type Backlogs struct{ o *backlogs }
 
-// NewOutlooks returns what a host knows that heard of none.
-func NewOutlooks() Outlooks { return Outlooks{o: newOutlooks()} }
+// NewBacklogs returns what a host knows that heard of none.
+func NewBacklogs() Backlogs { return Backlogs{o: newBacklogs()} }
 
-// Note takes an outlook in.
-func (o Outlooks) Note(shard string, wait time.Duration, at time.Time) {
+// Note takes an backlog in.
+func (o Backlogs) Note(shard string, wait time.Duration, at time.Time) {
 	var waits Queue
 	for i := range waits {
 		waits[i] = wait
 	}
-	o.o.note(shard, Outlook{Waits: waits, At: at})
+	o.o.note(shard, Backlog{Waits: waits, At: at})
 }
 
 // Tell passes all on to another host.
-func (o Outlooks) Tell(other Outlooks) { other.o.take(time.Now(), o.o.messages(time.Now())) }
+func (o Backlogs) Tell(other Backlogs) { other.o.take(time.Now(), o.o.messages(time.Now())) }
 
 // Wait returns the wait at a shard, and whether it is believed.
-func (o Outlooks) Wait(shard string) (time.Duration, bool) {
-	outlook, ok := o.o.of(shard)
-	return outlook.Waits.Longest(), ok
+func (o Backlogs) Wait(shard string) (time.Duration, bool) {
+	backlog, ok := o.o.of(shard)
+	return backlog.Waits.Longest(), ok
 }
 
 // Queue returns how long new work waits.
--- a/internal/stagepool/group.go
+++ b/internal/stagepool/group.go
@@ -61,8 +61,8 @@
 	specs map[string]Spec
 	// servers has the servers of each service.
 	servers map[string][]Server
-	// outlooks has a mutex of its own.
-	outlooks *outlooks
+	// backlogs has a mutex of its own.
+	backlogs *backlogs
 }
 
 // New returns a group whose calls end with ctx.
@@ -73,7 +73,7 @@
 		pools:    make(map[string]*Pool),
 		specs:    make(map[string]Spec),
 		servers:  make(map[string][]Server),
-		outlooks: newOutlooks(),
+		backlogs: newBacklogs(),
 	}
 }
 
@@ -122,8 +122,8 @@
 
 // wait is how long new work waits at a shard, as far as is known.
 func (g *Group) wait(shard string) time.Duration {
-	outlook, _ := g.outlooks.of(shard)
-	return outlook.Waits.Longest()
+	backlog, _ := g.backlogs.of(shard)
+	return backlog.Waits.Longest()
 }
 
 func splitShard(key string) (service, zone string) {
@@ -215,12 +215,12 @@
 	watch := time.AfterFunc(aliveAfter, func() { g.watch(ctx, client, cancel) })
 	defer watch.Stop()
 	request := requestMessage(time.Now(), shard, w)
-	request.Outlooks = g.outlooks.messages(time.Now())
+	request.Backlogs = g.backlogs.messages(time.Now())
 	reply, err := client.Run(ctx, request)
 	if err != nil {
 		return Answer{}, err
 	}
-	g.outlooks.take(time.Now(), reply.GetOutlooks())
+	g.backlogs.take(time.Now(), reply.GetBacklogs())
 	results, err := resultsOf(reply.GetResults())
 	if err != nil {
 		return Answer{}, err
--- a/internal/stagepool/service.go
+++ b/internal/stagepool/service.go
@@ -32,10 +32,10 @@
 	if len(w.Pieces) == 0 || len(w.Pieces) > piecesMost {
 		return nil, twirp.InvalidArgumentError("pieces", "want 1 to 4096")
 	}
-	s.g.outlooks.take(time.Now(), in.GetOutlooks())
+	s.g.backlogs.take(time.Now(), in.GetBacklogs())
 	a := s.g.runHere(ctx, in.GetShard(), w)
 	return &stagepb.RunReply{
-		Results: resultMessages(a.Results), Failure: string(a.Failure), Outlooks: s.g.outlooks.messages(time.Now()),
+		Results: resultMessages(a.Results), Failure: string(a.Failure), Backlogs: s.g.backlogs.messages(time.Now()),
 	}, nil
 }
 
