internal/relay: who comes back is told by the time that a request may be held

Cause: a caller counted as one that came back when it had under 0.85 of the longest patience ever seen on its route. One caller with a minute of patience, or a shortened route time-out, would have made all others count so: nobody would be refused any more.

Change: the time counts that the request may be held, and the longest seen is cut to the route's time-out now in force. TestCallersThatComeBackHaveLessTime.

--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -52,8 +52,8 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
-	// patience has the longest time that callers of each route began with.
-	patience map[string]time.Duration
+	// held has the longest time that a request of each route might be held.
+	held map[string]time.Duration
 
 	// delays has how much longer than expected first events took, by route.
 	delays *estimate.Table
@@ -68,14 +68,14 @@
 // New returns a core that knows neither a configuration nor servers.
 func New(o Options) *Core {
 	return &Core{
-		options:  o,
-		log:      o.Log,
-		scope:    o.Scope,
-		servers:  newServers(o.Zone, rand.New(rand.NewPCG(o.Random.Uint64(), o.Random.Uint64()))),
-		retries:  newRetries(o.RetryShare, o.RetryReserve, o.RetryWindow, o.Hosts),
-		random:   o.Random,
-		patience: make(map[string]time.Duration),
-		delays:   estimate.New(),
+		options: o,
+		log:     o.Log,
+		scope:   o.Scope,
+		servers: newServers(o.Zone, rand.New(rand.NewPCG(o.Random.Uint64(), o.Random.Uint64()))),
+		retries: newRetries(o.RetryShare, o.RetryReserve, o.RetryWindow, o.Hosts),
+		random:  o.Random,
+		held:    make(map[string]time.Duration),
+		delays:  estimate.New(),
 	}
 }
 
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -36,3 +36,11 @@
 
 // ShedShare is the share of requests that are refused.
 func ShedShare(waits, slack time.Duration) float64 { return shedShare(waits, slack) }
+
+// Fresh reports whether a request that arrives now on a route and may be held so
+// long is taken for one that comes for the first time.
+func Fresh(c *Core, r *Route, held time.Duration) bool {
+	arrived := time.Now()
+	j := &job{Request: &Request{Arrived: arrived}, core: c, route: r, deadline: arrived.Add(held)}
+	return j.fresh()
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -116,3 +116,14 @@
 		assert.Assert(t, got > c.want-1e-9 && got < c.want+1e-9, "%v of a second: got %v, want %v", c.waits, got, c.want)
 	}
 }
+
+func TestCallersThatComeBackHaveLessTime(t *testing.T) {
+	c := relay.New(relay.Options{Hosts: func() int { return 1 }, Random: rand.New(rand.NewPCG(1, 1))})
+	r := &relay.Route{Name: "r", Timeout: 10 * time.Second}
+	assert.Assert(t, relay.Fresh(c, r, 10*time.Second))
+	assert.Assert(t, relay.Fresh(c, r, 9*time.Second))
+	assert.Assert(t, !relay.Fresh(c, r, 7*time.Second))
+	shorter := &relay.Route{Name: "r", Timeout: 5 * time.Second}
+	assert.Assert(t, relay.Fresh(c, shorter, 5*time.Second), "the route's time was shortened")
+	assert.Assert(t, !relay.Fresh(c, shorter, 3*time.Second))
+}
--- a/internal/relay/shed.go
+++ b/internal/relay/shed.go
@@ -32,8 +32,8 @@
 	// returnLeast is the part of that time which all refused callers stay away;
 	// the rest spreads them out.
 	returnLeast = 0.5
-	// freshShare of the longest patience seen on a route is what a caller has
-	// left that comes for the first time.
+	// freshShare of the longest time that requests of a route are held is what a
+	// caller has left that comes for the first time.
 	freshShare = 0.85
 	// lateFor is how long after its objective a fresh request may begin yet. Who
 	// waits longer fares better by coming back: late work goes last.
@@ -99,19 +99,20 @@
 // fresh reports whether the caller comes for the first time: one that was told
 // to come back has less time left than callers of the route begin with.
 func (j *job) fresh() bool {
-	return j.Patience >= time.Duration(freshShare*float64(j.core.longestPatience(j.route.Name, j.Patience)))
+	held := j.deadline.Sub(j.Arrived)
+	return held >= time.Duration(freshShare*float64(j.core.longestHeld(j.route, held)))
 }
 
-// longestPatience notes a caller's patience on a route and returns the longest
-// that was seen there.
-func (c *Core) longestPatience(route string, patience time.Duration) time.Duration {
+// longestHeld notes how long a request of a route may be held and returns the
+// longest that was seen there, within what the route allows now.
+func (c *Core) longestHeld(route *Route, held time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.patience) >= routesMost {
-		clear(c.patience)
+	if len(c.held) >= routesMost {
+		clear(c.held)
 	}
-	c.patience[route] = max(c.patience[route], patience)
-	return c.patience[route]
+	c.held[route.Name] = max(c.held[route.Name], held)
+	return min(c.held[route.Name], route.Timeout)
 }
 
 // engineDelay is how much longer than at an idle engine that has the shared
