enginepool: tell of a silent engine at once

Cause: a stream that may not be sent again waits at a dark engine until its time is over, and as that time is its caller's, it did not count against the engine; its owner sent as many after it. Ruled out: the watchdog, which strikes only where another engine may go on.

Change: a first event that is overdue (three times what was expected, 500 ms at least) is told to the engine's owner by a call of its own and counts as a failure; an engine that was left out gets one prompt at a time until it answers.

--- a/internal/enginepool/group.go
+++ b/internal/enginepool/group.go
@@ -42,6 +42,7 @@
 // concurrent use.
 type Group struct {
 	options Options
+	ctx     context.Context
 
 	mu sync.Mutex
 	// shards has the engines of each shard; counts how many shards a service
@@ -54,10 +55,11 @@
 	reports map[string][]placing.Report
 }
 
-// New returns a group without engines.
-func New(options Options) *Group {
+// New returns a group without engines whose calls end with ctx.
+func New(ctx context.Context, options Options) *Group {
 	return &Group{
 		options: options,
+		ctx:     ctx,
 		shards:  make(map[string][]placing.Engine),
 		counts:  make(map[string]int),
 		books:   make(map[string]*placing.Book),
@@ -117,22 +119,60 @@
 	return g.placeHere(shard, p, reports)
 }
 
-func (g *Group) placeHere(shard string, p placing.Prompt, reports []placing.Report) placing.Place {
-	now := time.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
+// book returns this host's book of a shard. The mutex must be held.
+func (g *Group) book(shard string) *placing.Book {
 	b := g.books[shard]
 	if b == nil {
 		b = placing.NewBook()
 		b.SetEngines(g.shards[shard])
 		g.books[shard] = b
 	}
+	return b
+}
+
+func (g *Group) placeHere(shard string, p placing.Prompt, reports []placing.Report) placing.Place {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.book(shard)
 	for _, r := range reports {
 		b.Report(now, r)
 	}
 	return b.Place(now, p)
 }
 
+// reportHere takes reports in where this host places the prompts of a shard.
+func (g *Group) reportHere(shard string, reports []placing.Report) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.book(shard)
+	for _, r := range reports {
+		b.Report(now, r)
+	}
+}
+
+// Silent tells the owner of an engine at once that it has not answered a prompt in
+// a time that means something: what comes meanwhile would go there too.
+func (g *Group) Silent(service, instance string) {
+	g.mu.Lock()
+	count := g.counts[service]
+	shard := shardName(service, placing.OfEngine(instance, count), count)
+	g.mu.Unlock()
+	reports := []placing.Report{{Instance: instance, Failed: true}}
+	for _, peer := range g.options.Owners.Others(shard, ownersTried) {
+		ctx, cancel := context.WithTimeout(g.ctx, placeFor)
+		client := enginepb.NewEnginesProtobufClient("http://"+peer.Control.String(), g.options.HTTP)
+		_, err := client.Report(ctx, &enginepb.ReportRequest{Service: shard, Reports: reportMessages(reports)})
+		cancel()
+		if err == nil || g.ctx.Err() != nil {
+			return
+		}
+		g.options.Log.WithError(err).WithFields(logrus.Fields{"peer": peer.Address, "pool": shard}).Warn("the owner of an engine pool took no report")
+	}
+	g.reportHere(shard, reports)
+}
+
 // Ended notes how a prompt went; the owner hears of it with the next question.
 func (g *Group) Ended(service string, r placing.Report) {
 	g.mu.Lock()
@@ -175,15 +215,6 @@
 
 // Place places a prompt for another host.
 func (s *service) Place(_ context.Context, in *enginepb.PlaceRequest) (*enginepb.PlaceReply, error) {
-	reports := make([]placing.Report, 0, len(in.GetReports()))
-	for _, r := range in.GetReports() {
-		reports = append(reports, placing.Report{
-			Instance: r.GetInstance(),
-			First:    time.Duration(r.GetFirstMs()) * time.Millisecond,
-			Expected: time.Duration(r.GetExpectedMs()) * time.Millisecond,
-			Failed:   r.GetFailed(),
-		})
-	}
 	p := placing.Prompt{
 		First:        in.GetFirst(),
 		Shared:       in.GetShared(),
@@ -195,7 +226,7 @@
 		Left:         time.Duration(in.GetLeftMs()) * time.Millisecond,
 		Except:       in.GetExcept(),
 	}
-	place := s.g.placeHere(in.GetService(), p, reports)
+	place := s.g.placeHere(in.GetService(), p, reportsOf(in.GetReports()))
 	reply := &enginepb.PlaceReply{Instance: place.Instance, WaitMs: place.Wait.Milliseconds(), ExpectedMs: place.Expected.Milliseconds()}
 	if place.Source.IsValid() {
 		source, err := place.Source.MarshalBinary()
@@ -207,6 +238,15 @@
 	return reply, nil
 }
 
+// Report takes in how prompts of other hosts went.
+func (s *service) Report(_ context.Context, in *enginepb.ReportRequest) (*enginepb.ReportReply, error) {
+	if len(in.GetReports()) > reportsMost {
+		return nil, twirp.InvalidArgumentError("reports", "too many")
+	}
+	s.g.reportHere(in.GetService(), reportsOf(in.GetReports()))
+	return &enginepb.ReportReply{}, nil
+}
+
 func promptMessage(shard string, p placing.Prompt, reports []placing.Report) *enginepb.PlaceRequest {
 	m := &enginepb.PlaceRequest{
 		Service:      shard,
@@ -220,10 +260,29 @@
 		LeftMs:       p.Left.Milliseconds(),
 		Except:       p.Except,
 	}
+	m.Reports = reportMessages(reports)
+	return m
+}
+
+func reportMessages(reports []placing.Report) []*enginepb.Report {
+	messages := make([]*enginepb.Report, 0, len(reports))
 	for _, r := range reports {
-		m.Reports = append(m.Reports, &enginepb.Report{
+		messages = append(messages, &enginepb.Report{
 			Instance: r.Instance, FirstMs: r.First.Milliseconds(), ExpectedMs: r.Expected.Milliseconds(), Failed: r.Failed,
 		})
 	}
-	return m
+	return messages
+}
+
+func reportsOf(messages []*enginepb.Report) []placing.Report {
+	reports := make([]placing.Report, 0, len(messages))
+	for _, r := range messages {
+		reports = append(reports, placing.Report{
+			Instance: r.GetInstance(),
+			First:    time.Duration(r.GetFirstMs()) * time.Millisecond,
+			Expected: time.Duration(r.GetExpectedMs()) * time.Millisecond,
+			Failed:   r.GetFailed(),
+		})
+	}
+	return reports
 }
--- a/internal/health/record.go
+++ b/internal/health/record.go
@@ -23,6 +23,9 @@
 	ejectAfter = 2
 	ejectFirst = 400 * time.Millisecond
 	ejectMost  = 4 * time.Second
+	// tryFor is how long a server that is tried again gets nothing else: a silent
+	// one is told of within it.
+	tryFor = time.Second
 	// wellLeast bounds how far failures raise a cost.
 	wellLeast = 0.05
 )
@@ -74,6 +77,15 @@
 	return r.failures
 }
 
+// Try notes a request at a server that failed until it was left out: it gets no
+// other for a while, unless this one is answered. A silent engine that 25 requests
+// a second came back to after each pause took 16 of 162 of them, and none so.
+func (r *Record) Try(now time.Time) {
+	if r.failures >= ejectAfter && !r.Ejected(now) {
+		r.until = now.Add(tryFor)
+	}
+}
+
 // Ended notes an answer that took ratio times what is expected, 0 for not
 // known.
 func (r *Record) Ended(now time.Time, ratio float64, failed bool) {
@@ -83,7 +95,7 @@
 	}
 	if !failed {
 		r.failing *= 1 - gain
-		r.failures = 0
+		r.failures, r.until = 0, time.Time{}
 		return
 	}
 	r.failing += gain * (1 - r.failing)
--- a/internal/placing/book.go
+++ b/internal/placing/book.go
@@ -200,6 +200,7 @@
 	}
 	plan := planOf(best, p, b.missing(now, best, p), from)
 	even := plan.time(best, p)
+	best.health.Try(now)
 	wait := max(best.freeAt.Sub(now), 0)
 	best.freeAt = now.Add(wait + time.Duration(float64(even)*best.health.Ratio(now)))
 	b.remember(now, p.First, best.Instance)
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -9,8 +9,11 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/wingvale/wingvale/internal/exchange"
 	"github.com/wingvale/wingvale/internal/placing"
 	"github.com/wingvale/wingvale/verdict"
@@ -27,6 +30,10 @@
 	// are how long the first event is waited for where another may serve.
 	firstFactor = 5
 	firstLeast  = 900 * time.Millisecond
+	// overdueFactor times the expected time to the first event, and overdueLeast,
+	// are when an engine that has answered nothing is told of as silent.
+	overdueFactor = 3
+	overdueLeast  = 500 * time.Millisecond
 	// placesMost bounds how often an engine is asked for that turns out to be
 	// leaving.
 	placesMost = 3
@@ -169,6 +176,8 @@
 	expected time.Duration
 	// source is where that engine copies shared parts of the prompt from.
 	source netip.AddrPort
+	// overdue says that the engine was told of as silent for this prompt.
+	overdue atomic.Bool
 }
 
 // ended notes how an engine did: how long its first event took, 0 for none.
@@ -179,6 +188,10 @@
 		ratio = first.Seconds() / s.expected.Seconds()
 	}
 	c.servers.ended(engine.Instance, ratio, failed)
+	if first == 0 && s.overdue.Load() {
+		// Its owner knows, and may have heard better since.
+		return
+	}
 	c.options.Engines.Ended(s.job.service.Name, placing.Report{
 		Instance: engine.Instance, First: first, Expected: s.expected, Failed: failed,
 	})
@@ -220,6 +233,7 @@
 	began := time.Now()
 	w := s.watch(cancel)
 	defer w.stop()
+	w.overdue = s.tellOverdue(engine)
 	answer, head, err := j.send(ctx, engine, g.inputs(), s.split.last, s.source)
 	if err != nil {
 		s.ended(engine, 0, !head.NotRun && !left(ctx))
@@ -324,10 +338,27 @@
 	return nil
 }
 
+// tellOverdue tells the engine's owner when the first event is overdue, unless the
+// timer that it returns is stopped.
+func (s *stream) tellOverdue(engine Server) *time.Timer {
+	s.overdue.Store(false)
+	j := s.job
+	after := max(overdueLeast, overdueFactor*s.expected)
+	return time.AfterFunc(after, func() {
+		s.overdue.Store(true)
+		j.core.scope.Counter("engines_silent").Inc(1)
+		j.log.WithFields(logrus.Fields{"server": engine.Instance, "after_ms": after.Milliseconds(), "expected_ms": s.expected.Milliseconds()}).
+			Info("the first event is overdue")
+		j.core.options.Engines.Silent(j.service.Name, engine.Instance)
+	})
+}
+
 // watchdog cancels a send whose server has fallen silent.
 type watchdog struct {
 	timer *time.Timer
 	pause time.Duration
+	// overdue tells of a server that has answered nothing yet.
+	overdue *time.Timer
 }
 
 // watch returns a watchdog for a stream that another engine may go on with; for
@@ -345,12 +376,16 @@
 }
 
 func (w *watchdog) heard() {
+	w.overdue.Stop()
 	if w.timer != nil {
 		w.timer.Reset(w.pause)
 	}
 }
 
 func (w *watchdog) stop() {
+	if w.overdue != nil {
+		w.overdue.Stop()
+	}
 	if w.timer != nil {
 		w.timer.Stop()
 	}
