--- a/internal/relay/prompt.go
+++ b/internal/relay/prompt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
 	"github.com/wingvale/wingvale/internal/placing"
 )
 
