gateway: wait with stages and prompts until the owners are known

Cause: hosts that all start together do not know each other for 0.5 to 0.8 s at 295. Ruled out: the store (configuration in force 0.1 s after the start).

Change: a stream waits until no host has come or gone for 150 ms, 1 s after the host's start at most.

--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -77,8 +77,10 @@
 
 	refreshing sync.Mutex
 
-	ctx      context.Context
-	end      context.CancelFunc
+	ctx context.Context
+	end context.CancelFunc
+	// settled is closed when the view counts as whole.
+	settled  chan struct{}
 	ready    atomic.Bool
 	leaving  atomic.Bool
 	inFlight atomic.Int64
@@ -109,6 +111,7 @@
 		ctx:           ctx,
 		end:           end,
 		start:         now,
+		settled:       make(chan struct{}),
 		done:          make(chan struct{}),
 	}
 	n.view = fleet.New(fleet.Member{
@@ -149,6 +152,7 @@
 		Stages:       n.stages,
 		Engines:      n.engines,
 		Confirm:      n.confirm.now,
+		Settled:      n.settled,
 		Hosts:        n.hosts,
 		Log:          n.log,
 		Scope:        o.Scope,
@@ -328,6 +332,7 @@
 	parts.Go(func() { n.gossip.Run(ctx) })
 	parts.Go(func() { n.upkeep(ctx) })
 	parts.Go(func() { n.begin(ctx) })
+	parts.Go(func() { n.settle(ctx) })
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	err := server.Serve(l)
 	cancel()
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/wingvale/wingvale/internal/fleet"
 	"github.com/wingvale/wingvale/internal/relay"
 )
@@ -21,6 +23,13 @@
 	// that started apart meet.
 	meetEvery  = 100 * time.Millisecond
 	seedsEvery = 3 * time.Second
+	// settledAfter is how long no host may have come or gone for the view to count
+	// as whole, some rounds of quick heartbeats; settledMost is how long after its
+	// start a host waits for that: 295 that start together know each other after
+	// 0.8 s.
+	settledAfter = 150 * time.Millisecond
+	settledMost  = time.Second
+	settledEvery = 25 * time.Millisecond
 	// consulted is how many peers a starting node asks for what they have.
 	consulted = 2
 	// entriesMost bounds the addresses in one answer.
@@ -51,6 +60,20 @@
 	}
 }
 
+// settle waits until the view is whole, as far as can be told.
+func (n *Node) settle(ctx context.Context) {
+	defer close(n.settled)
+	for ctx.Err() == nil && time.Since(n.start) < settledMost {
+		alone := len(n.settings.Seeds) == 0 || len(n.settings.Seeds) == 1 && n.settings.Seeds[0] == n.settings.Peer
+		known := len(n.view.Members()) > 0 && n.view.Undisturbed(time.Now()) >= settledAfter
+		if alone || known {
+			break
+		}
+		sleep(ctx, settledEvery)
+	}
+	n.log.WithFields(logrus.Fields{"hosts": n.hosts(), "after_ms": time.Since(n.start).Milliseconds()}).Info("owners of pools are known")
+}
+
 // read reports whether all spaces have been read from the publisher once.
 func (n *Node) read() bool {
 	for _, w := range n.watchers {
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -29,6 +29,9 @@
 	// Confirm makes sure that the configuration in force is the newest there
 	// is, and reports whether it could.
 	Confirm func(ctx context.Context) bool
+	// Settled is closed once the host knows the others well enough to tell who owns
+	// the pools; nil is from the start.
+	Settled <-chan struct{}
 	// Hosts returns how many hosts serve, this one included.
 	Hosts  func() int
 	Log    logrus.FieldLogger
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -59,6 +59,9 @@
 			g.release()
 		}
 	}()
+	if err := j.awaitSettled(ctx); err != nil {
+		return err
+	}
 	s := &stream{job: j, sink: sink, prompt: j.prompt()}
 	defer func() { j.events = s.split.events }()
 	for remakes := 0; ; {
@@ -104,6 +107,22 @@
 	}
 }
 
+// awaitSettled waits until the host knows the owners of the pools. Hosts that all
+// started together and took each other for absent sent what they got to servers of
+// their own choice, which others filled as well.
+func (j *job) awaitSettled(ctx context.Context) error {
+	settled := j.core.options.Settled
+	if settled == nil {
+		return nil
+	}
+	select {
+	case <-settled:
+		return nil
+	case <-ctx.Done():
+		return j.interrupted(ctx)
+	}
+}
+
 // homeZone is the zone in which the last results of the stages are best made;
 // empty is any, for a prompt that shares too little to be tied to an engine.
 func (s *stream) homeZone() string {
