relay: take silence for the engine's only on new connections

Change: only sends on a new connection tell; streams that cannot be sent again, which are lost at a dark engine, always go out on one.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -358,10 +358,15 @@
 }
 
 // tellOverdue tells the engine's owner when the first event is overdue, unless the
-// timer that it returns is stopped.
+// timer that it returns is stopped. On a connection that had rested the silence may
+// be the connection's: with these told of too, prompts were sent on to engines over
+// further silent connections, and 5 of 188 failed, not 0 or 1.
 func (s *stream) tellOverdue(engine Server) *time.Timer {
 	s.overdue.Store(false)
 	j := s.job
+	if !j.connectsAnew() {
+		return nil
+	}
 	after := max(overdueLeast, overdueFactor*s.expected)
 	return time.AfterFunc(after, func() {
 		s.overdue.Store(true)
@@ -395,17 +400,21 @@
 }
 
 func (w *watchdog) heard() {
-	w.overdue.Stop()
+	w.stopOverdue()
 	if w.timer != nil {
 		w.timer.Reset(w.pause)
 	}
 }
 
 func (w *watchdog) stop() {
-	if w.overdue != nil {
-		w.overdue.Stop()
-	}
+	w.stopOverdue()
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 }
+
+func (w *watchdog) stopOverdue() {
+	if w.overdue != nil {
+		w.overdue.Stop()
+	}
+}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -33,7 +33,7 @@
 		Host:    j.Host,
 		Header:  o.Dialect.Header(j.Request, Send{Instance: s.Instance, Left: left, Workspace: j.workspace.Name, Inputs: inputs, LastEvent: lastEvent, CopyFrom: copyFrom}),
 		Body:    j.Body,
-		Fresh:   !j.route.Repeatable || j.unanswered() > 0,
+		Fresh:   j.connectsAnew(),
 		Mine:    func(status int, h http.Header) bool { return o.Dialect.Mine(j.ID, status, h) },
 	}
 	j.sentTo(s)
@@ -68,6 +68,11 @@
 	return answer, head, nil
 }
 
+// connectsAnew reports whether the next send goes out on a new connection.
+func (j *job) connectsAnew() bool {
+	return !j.route.Repeatable || j.unanswered() > 0
+}
+
 // note logs one send that did not bring an answer.
 func (j *job) note(s Server, outcome string, err error) {
 	j.core.scope.Counter("sends_failed").Inc(1)
