gateway, platform: send nothing to the servers of evacuated zones

Ruled out: a space and a watch of its own (a priced call more for each reader each 2 s); the operators' prefix is read instead, so that the values go the same ways as the configuration, to hosts that the store turns away too.

Change: a directive is a configuration or an evacuated zone; servers of such a zone are closed from the moment at which a host hears of it, for requests, pieces, copies of pieces, and results that are given up. Where all servers of a stage are closed what waits is refused at once. Pools that are split by zone pass over zones that are closed.

--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -129,7 +129,7 @@
 // node has all.
 func (c *confirmer) askPublisher(ctx context.Context) bool {
 	n := c.node
-	through := n.configuration.Summary().Through
+	through := n.directives.Summary().Through
 	if through == 0 {
 		return c.readPublisher(ctx)
 	}
@@ -141,8 +141,8 @@
 		n.log.WithError(err).Info("the configuration could not be confirmed by the platform")
 		return false
 	}
-	n.took(publisher.SpaceConfiguration, n.configuration.Offer(values.Entries()...))
-	n.configuration.Complete(values.Revision)
+	n.took(publisher.SpaceConfiguration, n.directives.Offer(values.Entries()...))
+	n.directives.Complete(values.Revision)
 	return true
 }
 
@@ -153,7 +153,7 @@
 		n.log.WithError(err).Info("the configuration could not be confirmed by the platform")
 		return false
 	}
-	n.took(publisher.SpaceConfiguration, n.configuration.OfferListing(published.Listing{Revision: values.Revision, Entries: values.Entries()}))
-	n.configuration.Complete(values.Revision)
+	n.took(publisher.SpaceConfiguration, n.directives.OfferListing(published.Listing{Revision: values.Revision, Entries: values.Entries()}))
+	n.directives.Complete(values.Revision)
 	return true
 }
--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -42,7 +42,7 @@
 		Ready:         n.Ready(),
 		Leaving:       n.Leaving(),
 		InFlight:      n.InFlight(),
-		Configuration: n.configuration.State(dumpKeys),
+		Configuration: n.directives.State(dumpKeys),
 		Listed:        n.listed.State(dumpKeys),
 		Members:       n.view.Members(),
 		Servers:       n.core.Servers(),
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -43,11 +43,11 @@
 	Source publisher.Source
 	// ConfigurationKey is the key that has the whole configuration.
 	ConfigurationKey string
-	// DecodeConfiguration and DecodeServer depend on nothing but their
-	// arguments, so that all nodes accept alike.
-	DecodeConfiguration func(key string, data []byte) (*relay.Catalog, error)
-	DecodeServer        func(key string, data []byte) (relay.Server, error)
-	Dialect             relay.Dialect
+	// DecodeDirective and DecodeServer depend on nothing but their arguments, so
+	// that all nodes accept alike.
+	DecodeDirective func(key string, data []byte) (Directive, error)
+	DecodeServer    func(key string, data []byte) (relay.Server, error)
+	Dialect         relay.Dialect
 	// StageDriver returns what speaks to stage servers over the connections of
 	// pool.
 	StageDriver func(pool *exchange.Pool) stagepool.Driver
@@ -60,20 +60,21 @@
 	settings settings.Gateway
 	log      logrus.FieldLogger
 
-	configuration *published.Store[*relay.Catalog]
-	listed        *published.Store[relay.Server]
-	view          *fleet.View
-	gossip        *peer.Gossip
-	watchers      []*publisher.Watcher
-	peers         *http.Client
-	backends      *exchange.Pool
-	stages        *stagepool.Group
-	engines       *enginepool.Group
-	core          *relay.Core
-	members       *members
-	confirm       *confirmer
-	reading       *reading
-	random        *rand.Rand
+	directives *published.Store[Directive]
+	listed     *published.Store[relay.Server]
+	view       *fleet.View
+	gossip     *peer.Gossip
+	watchers   []*publisher.Watcher
+	peers      *http.Client
+	backends   *exchange.Pool
+	stages     *stagepool.Group
+	engines    *enginepool.Group
+	core       *relay.Core
+	members    *members
+	evacuation evacuation
+	confirm    *confirmer
+	reading    *reading
+	random     *rand.Rand
 
 	refreshing sync.Mutex
 
@@ -102,19 +103,19 @@
 	random := rand.New(rand.NewPCG(o.Seed, uint64(s.Callers.Port())))
 	ctx, end := context.WithCancel(context.Background())
 	n := &Node{
-		options:       o,
-		settings:      s,
-		log:           o.Log,
-		configuration: published.New(o.DecodeConfiguration),
-		listed:        published.New(o.DecodeServer),
-		peers:         newPeerClient(o.Dial, o.Scope.SubScope("peer")),
-		backends:      exchange.NewPool(o.Dial),
-		random:        random,
-		ctx:           ctx,
-		end:           end,
-		start:         now,
-		settled:       make(chan struct{}),
-		done:          make(chan struct{}),
+		options:    o,
+		settings:   s,
+		log:        o.Log,
+		directives: published.New(o.DecodeDirective),
+		listed:     published.New(o.DecodeServer),
+		peers:      newPeerClient(o.Dial, o.Scope.SubScope("peer")),
+		backends:   exchange.NewPool(o.Dial),
+		random:     random,
+		ctx:        ctx,
+		end:        end,
+		start:      now,
+		settled:    make(chan struct{}),
+		done:       make(chan struct{}),
 	}
 	n.view = fleet.New(fleet.Member{
 		Address:     s.Callers,
@@ -126,7 +127,7 @@
 	}, now, fleet.Options{})
 	n.gossip = peer.New(peer.Options{
 		View:     n.view,
-		Spaces:   peer.Spaces{peerpb.Space_SPACE_CONFIGURATION: n.configuration, peerpb.Space_SPACE_HOSTS: n.listed},
+		Spaces:   peer.Spaces{peerpb.Space_SPACE_CONFIGURATION: n.directives, peerpb.Space_SPACE_HOSTS: n.listed},
 		HTTP:     n.peers,
 		Log:      n.log,
 		Scope:    o.Scope.SubScope("peer"),
@@ -166,7 +167,7 @@
 	n.members = newMembers()
 	n.reading = newReading()
 	n.watchers = []*publisher.Watcher{
-		n.newWatcher(publisher.SpaceConfiguration, n.configuration),
+		n.newWatcher(publisher.SpaceConfiguration, n.directives),
 		n.newWatcher(publisher.SpaceHosts, n.listed),
 	}
 	return n
@@ -388,7 +389,7 @@
 			n.refresh()
 		}
 		n.tellMembers()
-		n.tellRejected(n.configuration.TakeRejected())
+		n.tellRejected(n.directives.TakeRejected())
 		n.tellRejected(n.listed.TakeRejected())
 		if now.Sub(pruned) >= pruneEvery {
 			pruned = now
@@ -427,17 +428,19 @@
 	// be set after what a later one has.
 	n.refreshing.Lock()
 	defer n.refreshing.Unlock()
-	if catalog, ok := n.configuration.Get(n.options.ConfigurationKey); ok {
+	if directive, ok := n.directives.Get(n.options.ConfigurationKey); ok {
+		catalog := directive.Catalog
 		if old := n.core.Catalog(); old == nil || old.Version < catalog.Version {
 			n.log.WithFields(logrus.Fields{
 				"version":  catalog.Version,
-				"revision": n.configuration.Revision(n.options.ConfigurationKey),
-				"bytes":    sizeOf(n.configuration.Entries(n.options.ConfigurationKey)),
+				"revision": n.directives.Revision(n.options.ConfigurationKey),
+				"bytes":    sizeOf(n.directives.Entries(n.options.ConfigurationKey)),
 			}).Info("configuration in force")
 		}
 		n.core.SetCatalog(catalog)
 	}
 	servers := n.members.merge(time.Now(), n.listed.Values(), n.log)
+	n.evacuation.mark(n.directives.Values(), servers, n.log)
 	n.core.SetServers(servers)
 	if catalog := n.core.Catalog(); catalog != nil {
 		n.stages.Configure(poolsOf(catalog, servers))
@@ -474,7 +477,7 @@
 	for _, s := range servers {
 		if _, ok := specs[s.Service]; ok {
 			byService[s.Service] = append(byService[s.Service], stagepool.Server{
-				Instance: s.Instance, Address: s.Address, Zone: s.Zone, Leaving: s.Leaving,
+				Instance: s.Instance, Address: s.Address, Zone: s.Zone, Leaving: s.Closed(), Unreachable: s.Evacuated,
 			})
 		}
 	}
@@ -487,7 +490,7 @@
 	for _, s := range servers {
 		if service := catalog.Service(s.Service); service != nil && service.Engine != nil {
 			byService[s.Service] = append(byService[s.Service], placing.Engine{
-				Instance: s.Instance, Address: s.Address, Zone: s.Zone, Leaving: s.Leaving,
+				Instance: s.Instance, Address: s.Address, Zone: s.Zone, Leaving: s.Closed(),
 				TokenBytes: service.Engine.TokenBytes, Link: service.Engine.Link,
 			})
 		}
--- a/internal/relay/catalog.go
+++ b/internal/relay/catalog.go
@@ -126,6 +126,13 @@
 	Slots int
 	// Leaving says that it must get no new work.
 	Leaving bool
+	// Evacuated says that nothing at all may be sent to it: its zone is evacuated.
+	Evacuated bool
+}
+
+// Closed reports whether the server must get no new work.
+func (s Server) Closed() bool {
+	return s.Leaving || s.Evacuated
 }
 
 // NewCatalog returns a catalog. Keys may be nil.
--- a/internal/relay/servers.go
+++ b/internal/relay/servers.go
@@ -65,7 +65,7 @@
 func (s *servers) usable(service string, now time.Time, except []string) []*server {
 	var all, well []*server
 	for _, k := range s.byService[service] {
-		if k.Leaving || slices.Contains(except, k.Instance) {
+		if k.Closed() || slices.Contains(except, k.Instance) {
 			continue
 		}
 		all = append(all, k)
@@ -120,7 +120,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.byID[instance]
-	if k == nil || k.Leaving {
+	if k == nil || k.Closed() {
 		return Server{}, false
 	}
 	return s.begin(k)
@@ -132,7 +132,7 @@
 	defer s.mu.Unlock()
 	var names []string
 	for _, k := range s.byService[service] {
-		if !k.Leaving {
+		if !k.Closed() {
 			names = append(names, k.Instance)
 		}
 	}
@@ -163,9 +163,11 @@
 	Address  netip.AddrPort `json:"address"`
 	Zone     string         `json:"zone"`
 	Leaving  bool           `json:"leaving,omitempty"`
-	Running  int            `json:"running"`
-	Ratio    float64        `json:"ratio"`
-	Failures int            `json:"failures"`
+	// Evacuated says that nothing is sent there.
+	Evacuated bool    `json:"evacuated,omitempty"`
+	Running   int     `json:"running"`
+	Ratio     float64 `json:"ratio"`
+	Failures  int     `json:"failures"`
 }
 
 func (s *servers) state() []ServerState {
@@ -175,7 +177,7 @@
 	states := make([]ServerState, 0, len(s.byID))
 	for _, k := range s.byID {
 		states = append(states, ServerState{
-			Instance: k.Instance, Service: k.Service, Address: k.Address, Zone: k.Zone, Leaving: k.Leaving,
+			Instance: k.Instance, Service: k.Service, Address: k.Address, Zone: k.Zone, Leaving: k.Leaving, Evacuated: k.Evacuated,
 			Running: k.running, Ratio: k.health.Ratio(now), Failures: k.health.Failures(),
 		})
 	}
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -304,8 +304,11 @@
 		"wait_ms": end.answer.Wait.Milliseconds(), "left_ms": j.left().Milliseconds(),
 	}).Info("stage failed")
 	reason, after := verdict.ReasonOverload, end.answer.Wait+fullAfter
-	if end.answer.Failure == stagepool.FailureLate {
+	switch end.answer.Failure {
+	case stagepool.FailureLate:
 		reason, after = ReasonLate, j.returnAfter()
+	case stagepool.FailureClosed:
+		reason, after = verdict.ReasonNoServer, j.returnAfter()
 	}
 	return j.refuse(reason, after, "stage %d at %s: %s", end.stage, service, end.answer.Failure)
 }
--- a/internal/stagepool/group.go
+++ b/internal/stagepool/group.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -104,6 +105,10 @@
 	if len(servers) <= shardSize {
 		return w.Service
 	}
+	servers = staying(servers)
+	if len(servers) == 0 {
+		return w.Service + "/" + w.Zone
+	}
 	hash := xxhash.Sum64String(w.Request)
 	count := uint64(len(servers))
 	first := w.Service + "/" + servers[hash%count].Zone
@@ -121,6 +126,11 @@
 	return home
 }
 
+// staying returns the servers that do not leave, as all of a zone may.
+func staying(servers []Server) []Server {
+	return slices.DeleteFunc(slices.Clone(servers), func(s Server) bool { return s.Leaving })
+}
+
 // wait is how long new work waits at a shard, as far as is known.
 func (g *Group) wait(shard string) time.Duration {
 	backlog, _ := g.backlogs.of(shard)
--- a/internal/stagepool/pool.go
+++ b/internal/stagepool/pool.go
@@ -234,7 +234,8 @@
 	handles := p.freeing[address]
 	delete(p.freeing, address)
 	state := p.scheduler.servers[address]
-	if state == nil || len(handles) == 0 {
+	if state == nil || state.Unreachable || len(handles) == 0 {
+		// Where nothing may be sent, results expire.
 		p.mu.Unlock()
 		return
 	}
--- a/internal/stagepool/scheduler.go
+++ b/internal/stagepool/scheduler.go
@@ -192,6 +192,7 @@
 		}
 	}
 	if len(usable) == 0 {
+		s.refuseClosed()
 		return nil
 	}
 	s.order(now)
@@ -202,6 +203,23 @@
 	return s.fillSlow(now, slow, len(usable)-len(slow), zones)
 }
 
+// refuseClosed ends what waits where all servers there are take no work, as when
+// their zones are evacuated, so that callers hear of it at once.
+func (s *scheduler) refuseClosed() {
+	if len(s.servers) == 0 {
+		return
+	}
+	for _, state := range s.servers {
+		if !state.Leaving {
+			return
+		}
+	}
+	for _, t := range s.waiting {
+		t.finish(FailureClosed)
+	}
+	s.waiting = nil
+}
+
 // fillFree makes up a call for one of the free servers: the one that suits the
 // first task that any of them suits.
 func (s *scheduler) fillFree(now time.Time, free []*serverState, zones map[string]bool) *batch {
--- a/internal/stagepool/work.go
+++ b/internal/stagepool/work.go
@@ -32,6 +32,9 @@
 	Zone     string
 	// Leaving says that it must get no new call.
 	Leaving bool
+	// Unreachable says that nothing may be sent there, results that are given up
+	// neither; it implies Leaving.
+	Unreachable bool
 }
 
 // Work is one stage of one request.
@@ -95,6 +98,8 @@
 	FailureRoom   Failure = "room"
 	FailureFailed Failure = "failed"
 	FailureFull   Failure = "full"
+	// FailureClosed says that none of the servers takes work.
+	FailureClosed Failure = "closed"
 )
 
 // Item is one piece of a call.
