placing, gateway: send an engine that may be cold no more than it bears

Ruled out: a bound on engines known to be cold alone.

Change: the owner of a shard sends each engine 0.48 of the bound in 1.15 s, cold or not; one that is new 0.24, since it does not know what the one before sent; a host that reaches no owner one prompt, and none where the engine is cold. A prompt that no engine may get yet waits for the first that may.

--- a/internal/enginepool/group.go
+++ b/internal/enginepool/group.go
@@ -109,6 +109,7 @@
 		if err == nil {
 			return place
 		}
+		p.Alone = true
 		if ctx.Err() != nil {
 			return placing.Place{}
 		}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -31,12 +31,19 @@
 // Merge returns the names of the servers to use.
 func (m Members) Merge(now time.Time, listed map[string]relay.Server, log logrus.FieldLogger) []string {
 	var names []string
-	for _, s := range m.m.merge(now, listed, log) {
+	revision := func(string) uint64 { return 1 }
+	for _, s := range m.m.merge(now, listed, revision, log) {
 		names = append(names, s.Instance)
 	}
 	return names
 }
 
+// ColdUntil returns until when a server counts as cold after a merge.
+func (m Members) ColdUntil(now time.Time, s relay.Server, revision uint64, log logrus.FieldLogger) time.Time {
+	listed := map[string]relay.Server{s.Instance: s}
+	return m.m.merge(now, listed, func(string) uint64 { return revision }, log)[0].ColdUntil
+}
+
 // CountClient and CountHandler count what goes between nodes.
 func CountClient(s tally.Scope, next http.RoundTripper) http.RoundTripper {
 	return traffic{scope: s}.client(next)
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -27,6 +27,8 @@
 	mu sync.Mutex
 	// used are the servers given out last, by instance.
 	used map[string]relay.Server
+	// told has the revision of each server's entry in used.
+	told map[string]uint64
 	// lapsed has until when servers without an entry are kept.
 	lapsed map[string]time.Time
 	// away says that the publisher does not answer; backAt is when it last came
@@ -36,7 +38,7 @@
 }
 
 func newMembers() *members {
-	return &members{used: make(map[string]relay.Server), lapsed: make(map[string]time.Time)}
+	return &members{used: make(map[string]relay.Server), told: make(map[string]uint64), lapsed: make(map[string]time.Time)}
 }
 
 func (m *members) lost(time.Time) {
@@ -64,12 +66,16 @@
 	return false
 }
 
-// merge returns the servers to use.
-func (m *members) merge(now time.Time, listed map[string]relay.Server, log logrus.FieldLogger) []relay.Server {
+// merge returns the servers to use. Listed has them by key, of which revision
+// returns when it changed last.
+func (m *members) merge(now time.Time, listed map[string]relay.Server, revision func(key string) uint64, log logrus.FieldLogger) []relay.Server {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	used := make(map[string]relay.Server, len(listed))
-	for _, s := range listed {
+	told := make(map[string]uint64, len(listed))
+	for key, s := range listed {
+		told[s.Instance] = revision(key)
+		s.ColdUntil = m.coldUntil(now, s, told[s.Instance])
 		used[s.Instance] = s
 		delete(m.lapsed, s.Instance)
 		if old, ok := m.used[s.Instance]; !ok || old.Leaving != s.Leaving {
@@ -94,7 +100,7 @@
 			log.WithFields(logrus.Fields{"server": instance, "service": s.Service}).Info("backend server gone")
 		}
 	}
-	m.used = used
+	m.used, m.told = used, told
 	list := make([]relay.Server, 0, len(used))
 	for _, s := range used {
 		list = append(list, s)
@@ -102,3 +108,16 @@
 	slices.SortFunc(list, func(a, b relay.Server) int { return a.Address.Compare(b.Address) })
 	return list
 }
+
+// coldUntil is until when a server counts as cold whose entry changed last at a
+// revision: what it says counts from when the node hears of it, which is later than
+// when it was written, so that no server is taken for warm too soon.
+func (m *members) coldUntil(now time.Time, s relay.Server, revision uint64) time.Time {
+	if s.ColdLeft == 0 {
+		return time.Time{}
+	}
+	if old, ok := m.used[s.Instance]; ok && m.told[s.Instance] == revision {
+		return old.ColdUntil
+	}
+	return now.Add(s.ColdLeft)
+}
--- a/internal/gateway/members_test.go
+++ b/internal/gateway/members_test.go
@@ -65,3 +65,15 @@
 	m.Regained(start)
 	assert.Equal(t, len(m.Merge(start, nil, quiet())), 0)
 }
+
+// What a server says of being cold counts from when its entry was heard of, once for
+// each time that it says so.
+func TestAServerIsColdFromWhenItSaysSo(t *testing.T) {
+	m := gateway.NewMembers()
+	s := relay.Server{Instance: "a", ColdLeft: 3 * time.Second}
+	assert.Equal(t, m.ColdUntil(start, s, 1, quiet()), start.Add(3*time.Second))
+	assert.Equal(t, m.ColdUntil(start.Add(time.Second), s, 1, quiet()), start.Add(3*time.Second), "the same entry")
+	assert.Equal(t, m.ColdUntil(start.Add(5*time.Second), s, 2, quiet()), start.Add(8*time.Second), "it turned cold again")
+	s.ColdLeft = 0
+	assert.Equal(t, m.ColdUntil(start.Add(6*time.Second), s, 3, quiet()), time.Time{})
+}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -439,12 +439,15 @@
 		}
 		n.core.SetCatalog(catalog)
 	}
-	servers := n.members.merge(time.Now(), n.listed.Values(), n.log)
+	servers := n.members.merge(time.Now(), n.listed.Values(), n.listed.Revision, n.log)
 	n.evacuation.mark(n.directives.Values(), servers, n.log)
+	if catalog := n.core.Catalog(); catalog != nil {
+		keepBounded(catalog, servers)
+	}
 	n.core.SetServers(servers)
 	if catalog := n.core.Catalog(); catalog != nil {
 		n.stages.Configure(poolsOf(catalog, servers))
-		n.engines.Configure(enginesOf(catalog, servers))
+		n.engines.Configure(enginesOf(catalog, servers, n.coldMost))
 	}
 }
 
@@ -484,14 +487,33 @@
 	return specs, byService
 }
 
+// keepBounded forgets that servers are cold which bear as much then as ever.
+func keepBounded(catalog *relay.Catalog, servers []relay.Server) {
+	for i, s := range servers {
+		if service := catalog.Service(s.Service); service == nil || service.ColdRate == 0 {
+			servers[i].ColdUntil = time.Time{}
+		}
+	}
+}
+
+// coldMost is how many requests of all hosts may reach a cold server in any second
+// that bears so many; 0 is not bounded.
+func (n *Node) coldMost(rate float64) float64 {
+	if rate <= 0 {
+		return 0
+	}
+	return rate*n.settings.ColdOver + n.settings.ColdSlack
+}
+
 // enginesOf returns the engines of a configuration by service.
-func enginesOf(catalog *relay.Catalog, servers []relay.Server) map[string][]placing.Engine {
+func enginesOf(catalog *relay.Catalog, servers []relay.Server, coldMost func(rate float64) float64) map[string][]placing.Engine {
 	byService := make(map[string][]placing.Engine)
 	for _, s := range servers {
 		if service := catalog.Service(s.Service); service != nil && service.Engine != nil {
 			byService[s.Service] = append(byService[s.Service], placing.Engine{
 				Instance: s.Instance, Address: s.Address, Zone: s.Zone, Leaving: s.Closed(),
 				TokenBytes: service.Engine.TokenBytes, Link: service.Engine.Link,
+				ColdUntil: s.ColdUntil, ColdMost: coldMost(service.ColdRate),
 			})
 		}
 	}
--- a/internal/placing/book.go
+++ b/internal/placing/book.go
@@ -70,10 +70,16 @@
 	// second an engine sends or takes in; 0 where engines copy nothing.
 	TokenBytes int64
 	Link       float64
+	// ColdUntil is when the engine is warm again, and ColdMost how many prompts of all
+	// hosts may reach it in any second while it is not; 0 is not bounded.
+	ColdUntil time.Time
+	ColdMost  float64
 }
 
 // Place is where a prompt goes.
 type Place struct {
+	// Instance is empty where there is no engine, or, with Wait set, none that may
+	// get a prompt yet.
 	Instance string
 	// Wait is how long it waits there, and Expected how long its first event
 	// should take, as far as is known.
@@ -103,6 +109,9 @@
 	Left time.Duration
 	// Except are instances not to be named.
 	Except []string
+	// Alone says that the host that decides is not the owner, and knows of no prompts
+	// but its own.
+	Alone bool
 }
 
 // Report is how one prompt went.
@@ -144,6 +153,7 @@
 	health health.Record
 	// freeAt is when it has read all prompts placed on it.
 	freeAt time.Time
+	pace   pace
 }
 
 // NewBook returns a book without engines.
@@ -189,19 +199,23 @@
 	var bestCost time.Duration
 	ranks := b.ranks(p)
 	from := b.source(now, p)
-	for _, e := range b.usable(now, p.Except) {
+	usable, wait := b.usable(now, p)
+	for _, e := range usable {
 		cost := b.cost(now, e, p, ranks, from)
 		if best == nil || cost < bestCost || cost == bestCost && e.Instance < best.Instance {
 			best, bestCost = e, cost
 		}
 	}
 	if best == nil {
-		return Place{}
+		return Place{Wait: wait}
 	}
 	plan := planOf(best, p, b.missing(now, best, p), from)
 	even := plan.time(best, p)
 	best.health.Try(now)
-	wait := max(best.freeAt.Sub(now), 0)
+	if best.ColdMost > 0 {
+		best.pace.note(now)
+	}
+	wait = max(best.freeAt.Sub(now), 0)
 	best.freeAt = now.Add(wait + time.Duration(float64(even)*best.health.Ratio(now)))
 	b.remember(now, p.First, best.Instance)
 	b.remember(now, p.Shared, best.Instance)
@@ -212,10 +226,20 @@
 	return place
 }
 
-func (b *Book) usable(now time.Time, except []string) []*engine {
+// usable returns the engines that a prompt may go to now, or else how long until
+// one may get it; 0 is never.
+func (b *Book) usable(now time.Time, p Prompt) ([]*engine, time.Duration) {
 	var all, well []*engine
+	var soonest time.Duration
+	paces := b.pacer(now, p.Alone)
 	for _, e := range b.engines {
-		if e.Leaving || slices.Contains(except, e.Instance) {
+		if e.Leaving || slices.Contains(p.Except, e.Instance) {
+			continue
+		}
+		if wait := paces.wait(e); wait > 0 {
+			if soonest == 0 || wait < soonest {
+				soonest = wait
+			}
 			continue
 		}
 		all = append(all, e)
@@ -224,9 +248,9 @@
 		}
 	}
 	if len(well) == 0 {
-		return all
+		return all, soonest
 	}
-	return well
+	return well, soonest
 }
 
 // Home returns which engine of a pool is the home of a prompt by rendezvous
--- a/internal/placing/book_test.go
+++ b/internal/placing/book_test.go
@@ -168,3 +168,50 @@
 	assert.Assert(t, alone > 100*time.Millisecond && alone < 120*time.Millisecond, "%v", alone)
 	assert.Assert(t, placing.ReadTime(30000, 6000) > alone)
 }
+
+// An engine that may be cold gets no more prompts in a second than it bears, whoever
+// places them: the owner, the one after it that knows nothing, and a host on its own.
+func TestEnginesThatMayBeColdArePaced(t *testing.T) {
+	const bound = 18.65
+	list := engines(1)
+	list[0].ColdMost = bound
+	old, young, alone := book(list...), book(list...), book(list...)
+	placed := 0
+	place := func(b *placing.Book, now time.Time, p placing.Prompt) {
+		if b.Place(now, p).Instance != "" {
+			placed++
+		}
+	}
+	for ms := range 3000 {
+		place(old, start.Add(time.Duration(ms)*time.Millisecond), prompt(1))
+	}
+	assert.Assert(t, placed >= 3*6 && placed <= 3*9, "%d placed in 3 s", placed)
+	placed = 0
+	now := start.Add(3 * time.Second)
+	for ms := range 1000 {
+		at := now.Add(time.Duration(ms) * time.Millisecond)
+		place(old, at, prompt(1))
+		place(young, at, prompt(1))
+		p := prompt(1)
+		p.Alone = true
+		place(alone, at, p)
+	}
+	assert.Assert(t, float64(placed) < bound, "%d in a second", placed)
+	wait := old.Place(now.Add(time.Second), prompt(1))
+	assert.Assert(t, wait.Instance == "" && wait.Wait > 0, "%+v", wait)
+}
+
+// A host that does not reach the owner leaves cold engines alone.
+func TestAHostOnItsOwnPassesColdEnginesOver(t *testing.T) {
+	list := engines(2)
+	for i := range list {
+		list[i].ColdMost = 18
+	}
+	list[0].ColdUntil = start.Add(3 * time.Second)
+	b := book(list...)
+	p := prompt(1)
+	p.Alone = true
+	assert.Equal(t, b.Place(start, p).Instance, "e1")
+	assert.Equal(t, b.Place(start, p).Instance, "", "the other had one")
+	assert.Equal(t, book(list[:1]...).Place(start, prompt(1)).Instance, "e0", "the owner uses it")
+}
--- a/internal/relay/catalog.go
+++ b/internal/relay/catalog.go
@@ -87,6 +87,8 @@
 type Service struct {
 	Name     string
 	MaxConns int
+	// ColdRate is how many requests a second a cold server bears; 0 is not bounded.
+	ColdRate float64
 	// Engine is set for model engines, Batch for stage servers.
 	Engine *Engine
 	Batch  *Batch
@@ -126,6 +128,10 @@
 	Slots int
 	// Leaving says that it must get no new work.
 	Leaving bool
+	// ColdLeft is how much longer it is cold, as it was published, and ColdUntil when
+	// that ends, counted from when the node heard of it.
+	ColdLeft  time.Duration
+	ColdUntil time.Time
 	// Evacuated says that nothing at all may be sent to it: its zone is evacuated.
 	Evacuated bool
 }
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -141,6 +141,10 @@
 	s.prompt.Except = j.tried
 	for range placesMost {
 		place := j.core.options.Engines.Place(ctx, j.service.Name, s.prompt)
+		for place.Instance == "" && place.Wait > 0 && s.awaitPlace(ctx, place.Wait) {
+			s.prompt.Left = time.Until(j.objective)
+			place = j.core.options.Engines.Place(ctx, j.service.Name, s.prompt)
+		}
 		if place.Instance == "" {
 			return Server{}, false
 		}
@@ -153,6 +157,27 @@
 	return Server{}, false
 }
 
+// placeAgain is the longest pause until an engine is asked for again.
+const placeAgain = 200 * time.Millisecond
+
+// awaitPlace waits until an engine may get the prompt that none may get yet, and
+// reports whether that is of use.
+func (s *stream) awaitPlace(ctx context.Context, wait time.Duration) bool {
+	j := s.job
+	j.core.scope.Counter("places_awaited").Inc(1)
+	if time.Until(j.useful()) < wait+expectedRead(j.Request) {
+		return false
+	}
+	pause := time.NewTimer(min(wait, placeAgain))
+	defer pause.Stop()
+	select {
+	case <-pause.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // errGone says that an engine found an input gone; the request did not run.
 var errGone = verdict.New(verdict.NotRun, verdict.ReasonRefused, "relay: an input is gone")
 
--- a/internal/relay/servers.go
+++ b/internal/relay/servers.go
@@ -61,22 +61,31 @@
 }
 
 // usable returns the servers of a service that may get work now, without
-// those excepted. Where failures leave out all, they are forgotten.
+// those excepted. Where failures leave out all, they are forgotten. Cold servers get
+// work where there are no others.
 func (s *servers) usable(service string, now time.Time, except []string) []*server {
-	var all, well []*server
+	var all, well, cold []*server
 	for _, k := range s.byService[service] {
 		if k.Closed() || slices.Contains(except, k.Instance) {
 			continue
 		}
+		if now.Before(k.ColdUntil) {
+			cold = append(cold, k)
+			continue
+		}
 		all = append(all, k)
 		if !k.health.Ejected(now) {
 			well = append(well, k)
 		}
 	}
-	if len(well) == 0 {
+	switch {
+	case len(well) > 0:
+		return well
+	case len(all) > 0:
 		return all
+	default:
+		return cold
 	}
-	return well
 }
 
 // choosePlain returns the server of a plain service that should answer first.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -47,6 +47,10 @@
 	RetryShare   float64
 	RetryReserve float64
 	RetryWindow  time.Duration
+	// ColdOver times what a cold backend server bears a second, and ColdSlack, are
+	// the most requests that all nodes together may send it in any second.
+	ColdOver  float64
+	ColdSlack float64
 	// LogLevel says what is logged.
 	LogLevel logrus.Level
 	// ClockOffset is added to the time of day. It is in no file: tests set it.
@@ -62,6 +66,7 @@
 		RetryShare:   0.1,
 		RetryReserve: 10,
 		RetryWindow:  10 * time.Second,
+		ColdOver:     1,
 		LogLevel:     logrus.InfoLevel,
 	}
 }
@@ -105,6 +110,8 @@
 		{section: "retries", name: "share", set: fraction(&g.RetryShare)},
 		{section: "retries", name: "reserve", set: amount(&g.RetryReserve)},
 		{section: "retries", name: "window", set: duration(&g.RetryWindow, time.Second, longest)},
+		{section: "cold", name: "over", set: amount(&g.ColdOver)},
+		{section: "cold", name: "slack", set: amount(&g.ColdSlack)},
 		{section: "log", name: "level", set: level(&g.LogLevel)},
 	}
 }
