stagepool: tell a lost answer from slow work

Cause: one overdue call raised a server's factor to 2.4 and more, which made it count as slow; slow servers got work only where the pieces that wait would fill calls of the quick ones for longer, without what comes meanwhile and goes first.

Change: a server is slow when two calls in a row are overdue; its share of lost answers is kept apart, and one that loses some gets work when the others would have it wait for longer than it takes there, forecast with what comes; what was sent in vain before goes elsewhere.

--- a/internal/stagepool/export_test.go
+++ b/internal/stagepool/export_test.go
@@ -97,3 +97,6 @@
 
 // Queue returns how long new work waits.
 func (s *Scheduler) Queue(now time.Time) Queue { return s.s.queue(now) }
+
+// Waiting reports whether pieces of a task wait to be sent.
+func (t Task) Waiting() bool { return len(t.t.pending) > 0 }
--- a/internal/stagepool/outcome.go
+++ b/internal/stagepool/outcome.go
@@ -21,15 +21,14 @@
 				again = true
 				continue
 			}
-			limit := time.Duration(overdueFactor*float64(b.expected)) + overdueSlack
-			if now.Sub(b.began) < limit {
+			if now.Sub(b.began) < overdueAfter(b.expected) {
 				again = true
 				continue
 			}
 			late = append(late, b)
 			s.remove(b)
 			b.abandoned = true
-			state.factor = max(state.factor, now.Sub(b.began).Seconds()/s.even(len(b.items)).Seconds())
+			state.overdue(now.Sub(b.began).Seconds() / s.even(len(b.items)).Seconds())
 			state.until = now.Add(fullPause)
 			s.lose(now, b)
 			s.resend(b.items)
@@ -38,6 +37,11 @@
 	return late, again
 }
 
+// overdueAfter is how long a call is waited for that was expected to take so long.
+func overdueAfter(expected time.Duration) time.Duration {
+	return time.Duration(overdueFactor*float64(expected)) + overdueSlack
+}
+
 // lose notes that the results of a call are not known: they take up room until
 // they expire.
 func (s *scheduler) lose(now time.Time, b *batch) {
@@ -135,6 +139,7 @@
 	s.remove(b)
 	state := b.server
 	state.failures, state.fulls = 0, 0
+	state.answered()
 	state.used -= b.bytes
 	if worked(outcomes) {
 		state.factor += factorGain * (now.Sub(b.began).Seconds()/s.even(len(b.items)).Seconds() - state.factor)
--- a/internal/stagepool/scheduler.go
+++ b/internal/stagepool/scheduler.go
@@ -62,6 +62,12 @@
 	// counts its server as kept at work for a caller who left: after half a
 	// second, of which the ways and recheck take some.
 	unwantedFor = 300 * time.Millisecond
+	// slowOverdues is how many calls in a row must be overdue for a server to count as
+	// slow: one may be an answer that was lost.
+	slowOverdues = 2
+	// losingLeast is from which share of lost answers on a server gets work only when
+	// it would wait longer for the others.
+	losingLeast = 0.15
 	// recheck is how soon servers whose calls are overdue are looked at again.
 	recheck = 50 * time.Millisecond
 )
@@ -185,7 +191,7 @@
 		zones[state.Zone] = true
 		switch {
 		case len(state.running) >= s.spec.Slots:
-		case state.factor > usable[0].factor*slowFactor:
+		case state.factor > usable[0].factor*slowFactor || state.losesAnswers():
 			slow = append(slow, state)
 		default:
 			free = append(free, state)
@@ -273,12 +279,15 @@
 	return inZone[one.Zone] > inZone[other.Zone]
 }
 
-// fillSlow gives a slow server what would wait longer for the quick ones than
-// it takes there, from the end of the order.
+// fillSlow gives a server that is slow or loses answers what would wait longer for
+// the quick ones than it takes there, from the end of the order. What was sent in
+// vain before is not sent again to one that loses answers.
 func (s *scheduler) fillSlow(now time.Time, slow []*serverState, quick int, zones map[string]bool) *batch {
+	if len(s.waiting) == 0 {
+		return nil
+	}
 	for _, state := range slow {
-		rounds := float64(s.pieces()) / float64(s.spec.Size*max(quick, 1))
-		if time.Duration(rounds*float64(s.even(s.spec.Size))) < s.expected(state, s.spec.Size) {
+		if s.waitFor(now, quick)+s.even(s.spec.Size) < s.likely(state, s.spec.Size) {
 			continue
 		}
 		slices.Reverse(s.waiting)
@@ -291,13 +300,31 @@
 	return nil
 }
 
+// waitFor is how long the last of what waits does so for one of the quick servers:
+// longer where more comes meanwhile that goes before it.
+func (s *scheduler) waitFor(now time.Time, quick int) time.Duration {
+	if quick == 0 {
+		return never
+	}
+	last := s.waiting[len(s.waiting)-1]
+	rate := float64(s.spec.Size*quick*s.spec.Slots) / s.even(s.spec.Size).Seconds()
+	return s.reach(now, last, 0, rate, s.pieces()-len(last.pending))
+}
+
+// likely is how long so many pieces take at a server, sent anew elsewhere where the
+// answer is lost.
+func (s *scheduler) likely(state *serverState, pieces int) time.Duration {
+	expected := s.expected(state, pieces)
+	return expected + time.Duration(state.losing*float64(overdueAfter(expected)))
+}
+
 // fill makes up a call of at most so many pieces for a server; split says whether
 // tasks may be spread over calls.
 func (s *scheduler) fill(now time.Time, state *serverState, most int, split bool, zones map[string]bool) *batch {
 	b := &batch{server: state, target: state.Server, began: now}
 	room := s.spec.Room - state.used
 	for _, t := range s.waiting {
-		if !s.fits(now, t, state, zones) {
+		if !s.fits(now, t, state, zones) || state.losesAnswers() && t.sentInVain() {
 			continue
 		}
 		b.take(t, s.takes(t, b, most, split, room))
--- a/internal/stagepool/server.go
+++ b/internal/stagepool/server.go
@@ -21,8 +21,12 @@
 	failures int
 	// fulls is how often in a row it was full.
 	fulls int
-	until time.Time
-	gone  bool
+	// losing is about the share of calls that bring no answer, and overdues how many
+	// were overdue in a row.
+	losing   float64
+	overdues int
+	until    time.Time
+	gone     bool
 }
 
 type heldResult struct {
@@ -33,7 +37,9 @@
 // fade lets a server's slowness be forgotten.
 func (s *serverState) fade(now time.Time) {
 	if !s.fadedAt.IsZero() && len(s.running) == 0 {
-		s.factor = 1 + (s.factor-1)*math.Exp2(-now.Sub(s.fadedAt).Seconds()/factorFade.Seconds())
+		keep := math.Exp2(-now.Sub(s.fadedAt).Seconds() / factorFade.Seconds())
+		s.factor = 1 + (s.factor-1)*keep
+		s.losing *= keep
 	}
 	s.fadedAt = now
 }
@@ -43,3 +49,25 @@
 	s.used += bytes
 	s.held[handle] = heldResult{bytes: bytes, expires: expires}
 }
+
+// overdue notes a call that took so many times as long as at an undisturbed server
+// and was given up. Its answer may be lost, or the server slow: that one which is slow
+// is overdue again.
+func (s *serverState) overdue(ratio float64) {
+	s.overdues++
+	s.losing += factorGain * (1 - s.losing)
+	if s.overdues >= slowOverdues {
+		s.factor = max(s.factor, ratio)
+	}
+}
+
+// answered notes that a call brought an answer.
+func (s *serverState) answered() {
+	s.overdues = 0
+	s.losing *= 1 - factorGain
+}
+
+// losesAnswers reports whether calls there are likely to be made in vain.
+func (s *serverState) losesAnswers() bool {
+	return s.losing >= losingLeast
+}
--- a/internal/stagepool/task.go
+++ b/internal/stagepool/task.go
@@ -34,6 +34,16 @@
 	close(t.done)
 }
 
+// sentInVain reports whether a piece that waits was sent before.
+func (t *task) sentInVain() bool {
+	for _, position := range t.pending {
+		if t.tries[position] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // sent is one piece of a call.
 type sent struct {
 	task     *task
