relay, stagepool, placing: serve requests in their homes

Cause: allowed_regions of routes and tenants was not read; nothing kept a request from servers of other regions (HOME).

Ruled out: naming only hosts of the caller's own region in the directory: on a site with one host in a region all callers there would hang on it. Where no route of the name has homes, all hosts are named as before.

Change: settings have the region of each zone; a request's homes are those of its route and its workspace, both where both have some. Plain servers, stage servers, engines and what engines copy from are chosen there; where there are none left it is refused at once. The directory names hosts in the caller's region or in the homes of the name's routes.

TestRequestsStayInTheirHomes (two regions) fails with HOME before and passes after.

--- a/internal/enginepool/group.go
+++ b/internal/enginepool/group.go
@@ -226,6 +226,7 @@
 		InputBytes:   max(in.GetInputBytes(), 0),
 		Left:         time.Duration(in.GetLeftMs()) * time.Millisecond,
 		Except:       in.GetExcept(),
+		Homes:        in.GetHomes(),
 	}
 	place := s.g.placeHere(in.GetService(), p, reportsOf(in.GetReports()))
 	reply := &enginepb.PlaceReply{Instance: place.Instance, WaitMs: place.Wait.Milliseconds(), ExpectedMs: place.Expected.Milliseconds()}
@@ -260,6 +261,7 @@
 		InputBytes:   p.InputBytes,
 		LeftMs:       p.Left.Milliseconds(),
 		Except:       p.Except,
+		Homes:        p.Homes,
 	}
 	m.Reports = reportMessages(reports)
 	return m
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -440,6 +440,9 @@
 		n.core.SetCatalog(catalog)
 	}
 	servers := n.members.merge(time.Now(), n.listed.Values(), n.listed.Revision, n.log)
+	for i, s := range servers {
+		servers[i].Region = n.settings.Regions[s.Zone]
+	}
 	n.evacuation.mark(n.directives.Values(), servers, n.log)
 	if catalog := n.core.Catalog(); catalog != nil {
 		keepBounded(catalog, servers)
@@ -480,7 +483,7 @@
 	for _, s := range servers {
 		if _, ok := specs[s.Service]; ok {
 			byService[s.Service] = append(byService[s.Service], stagepool.Server{
-				Instance: s.Instance, Address: s.Address, Zone: s.Zone, Leaving: s.Closed(), Unreachable: s.Evacuated,
+				Instance: s.Instance, Address: s.Address, Zone: s.Zone, Region: s.Region, Leaving: s.Closed(), Unreachable: s.Evacuated,
 			})
 		}
 	}
@@ -511,7 +514,7 @@
 	for _, s := range servers {
 		if service := catalog.Service(s.Service); service != nil && service.Engine != nil {
 			byService[s.Service] = append(byService[s.Service], placing.Engine{
-				Instance: s.Instance, Address: s.Address, Zone: s.Zone, Leaving: s.Closed(),
+				Instance: s.Instance, Address: s.Address, Zone: s.Zone, Region: s.Region, Leaving: s.Closed(),
 				TokenBytes: service.Engine.TokenBytes, Link: service.Engine.Link,
 				ColdUntil: s.ColdUntil, ColdMost: coldMost(service.ColdRate),
 			})
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -170,19 +170,33 @@
 	n.gossip.Announce(ctx, announceTo)
 }
 
-// Entries returns the addresses that callers should use. Where all hosts leave,
-// these are the ones that left last: they serve longest yet. A host that leaves
-// never names itself.
-func (n *Node) Entries() []netip.AddrPort {
-	var entries []netip.AddrPort
+// entry is a host that callers may use.
+type entry struct {
+	address netip.AddrPort
+	region  string
+}
+
+// Entries returns the addresses that callers of a region should use for a host name:
+// all, or where routes of that name have homes those of hosts there and in the
+// callers' region. Where all hosts leave, these are the ones that left last: they serve
+// longest yet. A host that leaves never names itself.
+func (n *Node) Entries(host, region string) []netip.AddrPort {
+	var all []entry
 	if n.Ready() {
-		entries = append(entries, n.settings.Callers)
+		all = append(all, entry{address: n.settings.Callers, region: n.settings.Regions[n.settings.Zone]})
 	}
 	for _, m := range n.view.Members() {
 		if m.State == fleet.StateLive {
-			entries = append(entries, m.Address)
+			all = append(all, entry{address: m.Address, region: n.settings.Regions[m.Zone]})
 		}
 	}
+	var entries []netip.AddrPort
+	if catalog := n.core.Catalog(); catalog != nil && catalog.Bound(host) {
+		entries = addressesIn(all, append(slices.Clone(catalog.HomesOf(host)), region))
+	}
+	if len(entries) == 0 {
+		entries = addressesIn(all, nil)
+	}
 	if len(entries) == 0 {
 		entries = n.lastEntries()
 	}
@@ -191,6 +205,17 @@
 	return entries[:min(len(entries), entriesMost)]
 }
 
+// addressesIn returns the addresses of the hosts in some regions.
+func addressesIn(entries []entry, regions relay.Homes) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, e := range entries {
+		if regions.Allow(e.region) {
+			addresses = append(addresses, e.address)
+		}
+	}
+	return addresses
+}
+
 // lastEntries returns the later half of the hosts that leave.
 func (n *Node) lastEntries() []netip.AddrPort {
 	leaving := n.view.LastToLeave()
--- a/internal/placing/book.go
+++ b/internal/placing/book.go
@@ -65,7 +65,9 @@
 	Instance string
 	Address  netip.AddrPort
 	Zone     string
-	Leaving  bool
+	// Region is that of the zone.
+	Region  string
+	Leaving bool
 	// TokenBytes is how much memory a token takes and Link how many bytes a
 	// second an engine sends or takes in; 0 where engines copy nothing.
 	TokenBytes int64
@@ -109,11 +111,18 @@
 	Left time.Duration
 	// Except are instances not to be named.
 	Except []string
+	// Homes are the regions whose engines may be named; none is all.
+	Homes []string
 	// Alone says that the host that decides is not the owner, and knows of no prompts
 	// but its own.
 	Alone bool
 }
 
+// allows reports whether an engine may read the prompt or keep what it copies.
+func (p Prompt) allows(e *engine) bool {
+	return len(p.Homes) == 0 || slices.Contains(p.Homes, e.Region)
+}
+
 // Report is how one prompt went.
 type Report struct {
 	Instance string
@@ -233,7 +242,7 @@
 	var soonest time.Duration
 	paces := b.pacer(now, p.Alone)
 	for _, e := range b.engines {
-		if e.Leaving || slices.Contains(p.Except, e.Instance) {
+		if e.Leaving || !p.allows(e) || slices.Contains(p.Except, e.Instance) {
 			continue
 		}
 		if wait := paces.wait(e); wait > 0 {
--- a/internal/placing/copy.go
+++ b/internal/placing/copy.go
@@ -33,13 +33,13 @@
 // that used them last among equals; its engine is nil where none does. It may be
 // leaving: it gets no work by a copy, and what it keeps is gone soon.
 func (b *Book) source(now time.Time, p Prompt) keeper {
-	if k := b.keeperOf(now, p.Shared, p.SharedTokens); k.engine != nil {
+	if k := b.keeperOf(now, p, p.Shared, p.SharedTokens); k.engine != nil {
 		return k
 	}
-	return b.keeperOf(now, p.First, p.FirstTokens)
+	return b.keeperOf(now, p, p.First, p.FirstTokens)
 }
 
-func (b *Book) keeperOf(now time.Time, part uint64, tokens int) keeper {
+func (b *Book) keeperOf(now time.Time, p Prompt, part uint64, tokens int) keeper {
 	engines, ok := b.warm.Get(part)
 	if !ok || part == 0 {
 		return keeper{}
@@ -48,7 +48,7 @@
 	var last time.Time
 	for name, r := range engines {
 		e := b.engines[name]
-		if e == nil || e.health.Ejected(now) || now.Sub(r.first) < readWithin || now.Sub(r.last) >= warmFor {
+		if e == nil || !p.allows(e) || e.health.Ejected(now) || now.Sub(r.first) < readWithin || now.Sub(r.last) >= warmFor {
 			continue
 		}
 		if best.engine == nil || r.last.After(last) || r.last.Equal(last) && name < best.Instance {
--- a/internal/relay/catalog.go
+++ b/internal/relay/catalog.go
@@ -36,6 +36,8 @@
 	Name string
 	// Priority goes before that of the route; 0 is the most urgent.
 	Priority int
+	// Homes bind beside those of the route.
+	Homes Homes
 }
 
 // Route says how requests for one host and path prefix are served.
@@ -65,6 +67,8 @@
 	MaxAttempts int
 	Targets     []Target
 	Stages      []Stage
+	// Homes are where the route's requests may be served.
+	Homes Homes
 }
 
 // Target is a service that gets a share of a route's requests.
@@ -124,6 +128,8 @@
 	Service  string
 	Address  netip.AddrPort
 	Zone     string
+	// Region is that of the zone; empty is not known.
+	Region string
 	// Slots is how many requests it works on at once.
 	Slots int
 	// Leaving says that it must get no new work.
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -129,7 +129,7 @@
 	if s.prompt.SharedTokens < homeTokens {
 		return ""
 	}
-	return s.job.core.servers.homeZone(s.job.service.Name, s.prompt)
+	return s.job.core.servers.homeZone(s.job.service.Name, s.prompt, s.job.homes)
 }
 
 // place has an engine chosen for the prompt. One that is leaving or gone here
@@ -139,6 +139,7 @@
 	s.prompt.Zone, s.prompt.InputBytes = g.inputsAt()
 	s.prompt.Left = time.Until(j.objective)
 	s.prompt.Except = j.tried
+	s.prompt.Homes = j.homes
 	for range placesMost {
 		place := j.core.options.Engines.Place(ctx, j.service.Name, s.prompt)
 		for place.Instance == "" && place.Wait > 0 && s.awaitPlace(ctx, place.Wait) {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -100,7 +100,7 @@
 	replies := make(chan *reply, 2)
 	started := 0
 	start := func() bool {
-		s, ok := j.core.servers.choosePlain(j.service.Name, j.expected(), j.tried)
+		s, ok := j.core.servers.choosePlain(j.service.Name, j.expected(), j.homes, j.tried)
 		if !ok {
 			return false
 		}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -49,6 +49,8 @@
 	workspace *Workspace
 	service   *Service
 	catalog   *Catalog
+	// homes are the regions in which the request may be served.
+	homes Homes
 	// objective, firstBy and deadline are moments: an answer is in time until
 	// the first, counted from the caller's first try, its beginning of use until
 	// the second, and all of it until the last.
@@ -188,6 +190,10 @@
 	if j.service == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoServer, "relay: route %s names no known service", route.Name).After(retryLeast)
 	}
+	var anywhere bool
+	if j.homes, anywhere = route.Homes.within(workspace.Homes); !anywhere {
+		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoServer, "relay: route %s and workspace %s share no home", route.Name, workspace.Name).After(unknownAfter)
+	}
 	held := route.Timeout
 	if r.Patience > 0 {
 		held = min(held, r.Patience)
--- a/internal/relay/servers.go
+++ b/internal/relay/servers.go
@@ -67,13 +67,13 @@
 	return len(s.byID) > 0
 }
 
-// usable returns the servers of a service that may get work now, without
-// those excepted. Where failures leave out all, they are forgotten. Cold servers get
-// work where there are no others.
-func (s *servers) usable(service string, now time.Time, except []string) []*server {
+// usable returns the servers of a service that may get work now, in the homes and
+// without those excepted. Where failures leave out all, they are forgotten. Cold
+// servers get work where there are no others.
+func (s *servers) usable(service string, now time.Time, homes Homes, except []string) []*server {
 	var all, well, cold []*server
 	for _, k := range s.byService[service] {
-		if k.Closed() || slices.Contains(except, k.Instance) {
+		if k.Closed() || !homes.Allow(k.Region) || slices.Contains(except, k.Instance) {
 			continue
 		}
 		if now.Before(k.ColdUntil) {
@@ -96,13 +96,13 @@
 }
 
 // choosePlain returns the server of a plain service that should answer first.
-func (s *servers) choosePlain(service string, expected time.Duration, except []string) (Server, bool) {
+func (s *servers) choosePlain(service string, expected time.Duration, homes Homes, except []string) (Server, bool) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var best *server
 	bestCost := math.Inf(1)
-	for _, k := range s.usable(service, now, except) {
+	for _, k := range s.usable(service, now, homes, except) {
 		slots := float64(max(k.Slots, 1))
 		cost := expected.Seconds() * k.health.Ratio(now) * (1 + float64(k.running)/slots)
 		cost = s.penalised(now, k, cost)
@@ -143,12 +143,12 @@
 }
 
 // homeZone returns the zone of the engine that is the home of a prompt.
-func (s *servers) homeZone(service string, p placing.Prompt) string {
+func (s *servers) homeZone(service string, p placing.Prompt, homes Homes) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var names []string
 	for _, k := range s.byService[service] {
-		if !k.Closed() {
+		if !k.Closed() && homes.Allow(k.Region) {
 			names = append(names, k.Instance)
 		}
 	}
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -223,6 +223,7 @@
 		InputBytes:  g.inputBytes(i),
 		Beside:      g.beside(i),
 		Zone:        g.zoneOf(i),
+		Homes:       j.homes,
 	}
 	for p := range j.pieces(i) {
 		w.Pieces = append(w.Pieces, p)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"reflect"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,6 +28,8 @@
 	Metrics netip.AddrPort
 	// Zone is the node's availability zone.
 	Zone string
+	// Regions has the region of each zone that is known.
+	Regions map[string]string
 	// Link is the host's bandwidth in Mbit/s and Cores its share of processors;
 	// 0 is not told.
 	Link  float64
@@ -100,6 +103,7 @@
 		{section: "node", name: "peer", required: true, set: address(&g.Peer)},
 		{section: "node", name: "metrics", required: true, set: address(&g.Metrics)},
 		{section: "node", name: "zone", required: true, set: name(&g.Zone)},
+		{section: "node", name: "regions", set: pairs(&g.Regions)},
 		{section: "node", name: "link-mbps", set: amount(&g.Link)},
 		{section: "node", name: "cores", set: amount(&g.Cores)},
 		{section: "node", name: "seeds", set: addresses(&g.Seeds)},
@@ -116,6 +120,25 @@
 	}
 }
 
+// pairs reads NAME=VALUE, by commas.
+func pairs(target *map[string]string) func(string) error {
+	return func(text string) error {
+		read := make(map[string]string)
+		if text == "" {
+			return nil
+		}
+		for part := range strings.SplitSeq(text, ",") {
+			name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+			if !ok || name == "" || value == "" {
+				return fmt.Errorf("want NAME=VALUE by commas, not %q", part)
+			}
+			read[name] = value
+		}
+		*target = read
+		return nil
+	}
+}
+
 func fraction(target *float64) func(string) error {
 	return func(text string) error {
 		f, err := strconv.ParseFloat(text, 64)
--- a/internal/stagepool/group.go
+++ b/internal/stagepool/group.go
@@ -105,7 +105,7 @@
 	if len(servers) <= shardSize {
 		return w.Service
 	}
-	servers = staying(servers)
+	servers = staying(servers, w)
 	if len(servers) == 0 {
 		return w.Service + "/" + w.Zone
 	}
@@ -126,9 +126,10 @@
 	return home
 }
 
-// staying returns the servers that do not leave, as all of a zone may.
-func staying(servers []Server) []Server {
-	return slices.DeleteFunc(slices.Clone(servers), func(s Server) bool { return s.Leaving })
+// staying returns the servers that do not leave, as all of a zone may, and may do the
+// work.
+func staying(servers []Server, w Work) []Server {
+	return slices.DeleteFunc(slices.Clone(servers), func(s Server) bool { return s.Leaving || !w.allows(s) })
 }
 
 // wait is how long new work waits at a shard, as far as is known.
--- a/internal/stagepool/scheduler.go
+++ b/internal/stagepool/scheduler.go
@@ -197,8 +197,8 @@
 			free = append(free, state)
 		}
 	}
+	s.refuseClosed()
 	if len(usable) == 0 {
-		s.refuseClosed()
 		return nil
 	}
 	s.order(now)
@@ -209,21 +209,29 @@
 	return s.fillSlow(now, slow, len(usable)-len(slow), zones)
 }
 
-// refuseClosed ends what waits where all servers there are take no work, as when
-// their zones are evacuated, so that callers hear of it at once.
+// refuseClosed ends what waits that none of the servers there are takes, as when their
+// zones are evacuated, so that callers hear of it at once.
 func (s *scheduler) refuseClosed() {
 	if len(s.servers) == 0 {
 		return
 	}
-	for _, state := range s.servers {
-		if !state.Leaving {
-			return
+	s.waiting = slices.DeleteFunc(s.waiting, func(t *task) bool {
+		if s.taken(t) {
+			return false
 		}
-	}
-	for _, t := range s.waiting {
 		t.finish(FailureClosed)
+		return true
+	})
+}
+
+// taken reports whether any of the servers may take a task.
+func (s *scheduler) taken(t *task) bool {
+	for _, state := range s.servers {
+		if !state.Leaving && t.allows(state.Server) {
+			return true
+		}
 	}
-	s.waiting = nil
+	return false
 }
 
 // fillFree makes up a call for one of the free servers: the one that suits the
@@ -371,6 +379,9 @@
 
 // fits reports whether a task may run at a server as far as zones go.
 func (s *scheduler) fits(now time.Time, t *task, state *serverState, zones map[string]bool) bool {
+	if !t.allows(state.Server) {
+		return false
+	}
 	if !t.heavy() || t.Zone == "" || t.Zone == state.Zone || !zones[t.Zone] {
 		return true
 	}
--- a/internal/stagepool/service.go
+++ b/internal/stagepool/service.go
@@ -74,6 +74,7 @@
 		InputBytes:  w.InputBytes,
 		Shard:       shard,
 		Beside:      w.Beside,
+		Homes:       w.Homes,
 	}
 	for _, p := range w.Pieces {
 		m.Pieces = append(m.Pieces, &stagepb.Piece{Index: int32(p)})
@@ -89,6 +90,7 @@
 		Key:         m.GetKey(),
 		Inputs:      m.GetInputs(),
 		Zone:        m.GetZone(),
+		Homes:       m.GetHomes(),
 		Workspace:   m.GetWorkspace(),
 		Route:       m.GetRoute(),
 		Latest:      now.Add(time.Duration(m.GetLatestMs()) * time.Millisecond),
--- a/internal/stagepool/work.go
+++ b/internal/stagepool/work.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -30,6 +31,8 @@
 	Instance string
 	Address  netip.AddrPort
 	Zone     string
+	// Region is that of the zone.
+	Region string
 	// Leaving says that it must get no new call.
 	Leaving bool
 	// Unreachable says that nothing may be sent there, results that are given up
@@ -51,6 +54,8 @@
 	// Zone is where the inputs lie or the results will be used; empty is
 	// anywhere.
 	Zone string
+	// Homes are the regions whose servers may do it; none is anywhere.
+	Homes []string
 	// Workspace and Route tell whose work it is and of what kind.
 	Workspace string
 	Route     string
@@ -75,6 +80,11 @@
 	return w.Beside || w.InputBytes >= heavyBytes
 }
 
+// allows reports whether a server may do the work.
+func (w *Work) allows(s Server) bool {
+	return len(w.Homes) == 0 || slices.Contains(w.Homes, s.Region)
+}
+
 // heavy reports whether it matters in which zone the work is done.
 func (w *Work) heavy() bool {
 	return max(w.ResultBytes, w.InputBytes) >= heavyBytes
