relay: log how long a request may be held, and where its prompt was placed

Cause: which of the largest prompts are late could not be told from a host's log. Change: held_ms, tokens, shared_tokens, engine_wait_ms, engine_expected_ms and copied in the line at a request's end.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -151,6 +151,7 @@
 		}
 		if engine, ok := j.core.servers.take(place.Instance); ok {
 			s.expected, s.source = place.Expected, place.Source
+			j.placed = place
 			return engine, true
 		}
 		s.prompt.Except = append(s.prompt.Except, place.Instance)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/wingvale/wingvale/internal/placing"
 	"github.com/wingvale/wingvale/verdict"
 )
 
@@ -65,6 +66,8 @@
 	firstFor  time.Duration
 	// events is how many a stream had that was passed on whole.
 	events int
+	// placed is where its prompt went last.
+	placed placing.Place
 
 	mu sync.Mutex
 	// attempts counts the sends that may have run, sends all of them.
@@ -253,7 +256,15 @@
 		fields["attempts"] = j.ran()
 		fields["stages_ms"] = j.stagesFor.Milliseconds()
 		fields["first_ms"] = j.firstFor.Milliseconds()
+		fields["held_ms"] = j.deadline.Sub(j.Arrived).Milliseconds()
 		fields["objective_ms"] = j.route.Objective.Milliseconds()
+		if j.placed.Instance != "" {
+			fields["tokens"] = r.tokens()
+			fields["shared_tokens"] = r.sharedTokens()
+			fields["engine_wait_ms"] = j.placed.Wait.Milliseconds()
+			fields["engine_expected_ms"] = j.placed.Expected.Milliseconds()
+			fields["copied"] = j.placed.Source.IsValid()
+		}
 		if j.stagesFor > 0 {
 			c.scope.Histogram("stages_seconds", latencies).RecordDuration(j.stagesFor)
 		}
