--- a/internal/stagepool/replay_test.go
+++ b/internal/stagepool/replay_test.go
@@ -72,92 +72,122 @@
 	latest time.Time
 }
 
-// replay plays a pattern on a scheduler. A server goes on with a call that was given
+// player plays a pattern on a scheduler. A server goes on with a call that was given
 // up, and only then begins with the next.
+type player struct {
+	pattern
+	spec      stagepool.Spec
+	scheduler *stagepool.Scheduler
+	arrivals  *rand.Rand
+	losses    *rand.Rand
+	// freeAt is when each server, by number from 1, has done what it was sent.
+	freeAt []time.Time
+	calls  []underWay
+	open   []asked
+	replayed
+}
+
 func replay(p pattern, spec stagepool.Spec, seed uint64) replayed {
-	random, losses := rand.New(rand.NewPCG(seed, 3)), rand.New(rand.NewPCG(seed, 4))
 	var servers []stagepool.Server
-	freeAt := make(map[string]time.Time)
 	for i := range p.servers {
 		servers = append(servers, server(i+1, string(rune('a'+i%3))))
 	}
-	s := stagepool.NewScheduler(spec, servers...)
-	within := func(at, from, to time.Duration) bool { return at >= from && at < to }
-	var r replayed
-	var calls []underWay
-	var open []asked
-	number := func(instance string) int {
-		n := 0
-		_, _ = fmt.Sscanf(instance, "s%d", &n)
-		return n
+	r := player{
+		pattern: p, spec: spec, scheduler: stagepool.NewScheduler(spec, servers...),
+		arrivals: rand.New(rand.NewPCG(seed, 3)), losses: rand.New(rand.NewPCG(seed, 4)), freeAt: make([]time.Time, p.servers+1),
 	}
 	for at := time.Duration(0); at < replayFor; at += replayStep {
-		now := start.Add(at)
-		rate := p.perSecond
-		if within(at, p.burstAt, p.burstEnd) {
-			rate *= p.burst
+		r.arrive(at)
+		r.end(at)
+		r.scheduler.Overdue(start.Add(at))
+		r.send(at)
+		r.settle(at)
+	}
+	slices.Sort(r.waits)
+	return r.replayed
+}
+
+func within(at, from, to time.Duration) bool { return at >= from && at < to }
+
+// arrive lets requests come.
+func (p *player) arrive(at time.Duration) {
+	now := start.Add(at)
+	rate := p.perSecond
+	if within(at, p.burstAt, p.burstEnd) {
+		rate *= p.burst
+	}
+	for chance := rate * replayStep.Seconds(); chance > 0; chance-- {
+		if p.arrivals.Float64() >= chance {
+			continue
+		}
+		w := work(fmt.Sprint(p.asked), p.pieces)
+		w.Latest, w.Deadline = now.Add(900*time.Millisecond), now.Add(4*time.Second)
+		p.asked++
+		p.open = append(p.open, asked{Task: p.scheduler.Add(now, w), at: now, latest: w.Latest})
+	}
+}
+
+// end brings the answers of calls that have ended, but for those that are lost.
+func (p *player) end(at time.Duration) {
+	now := start.Add(at)
+	p.calls = slices.DeleteFunc(p.calls, func(c underWay) bool {
+		if c.ends.After(now) {
+			return false
+		}
+		if !c.lost {
+			p.scheduler.Finish(now, c.batch, made(c.batch)...)
 		}
-		for chance := rate * replayStep.Seconds(); chance > 0; chance-- {
-			if random.Float64() >= chance {
-				continue
-			}
-			w := work(fmt.Sprint(r.asked), p.pieces)
-			w.Latest, w.Deadline = now.Add(900*time.Millisecond), now.Add(4*time.Second)
-			r.asked++
-			open = append(open, asked{Task: s.Add(now, w), at: now, latest: w.Latest})
+		return true
+	})
+}
+
+// send takes the scheduler's calls to their servers.
+func (p *player) send(at time.Duration) {
+	now := start.Add(at)
+	for {
+		b, ok := p.scheduler.Next(now)
+		if !ok {
+			return
 		}
-		calls = slices.DeleteFunc(calls, func(c underWay) bool {
-			if c.ends.After(now) {
-				return false
-			}
-			if !c.lost {
-				s.Finish(now, c.batch, made(c.batch)...)
-			}
-			return true
-		})
-		s.Overdue(now)
-		for {
-			b, ok := s.Next(now)
-			if !ok {
-				break
-			}
-			name := b.Server().Instance
-			begins := now
-			if freeAt[name].After(now) {
-				begins = freeAt[name]
-			}
-			takes := spec.CallTime + time.Duration(len(b.Requests()))*spec.PieceTime
-			if number(name) > p.servers-p.slow && within(at, p.slowAt, p.slowEnd) {
-				takes = time.Duration(float64(takes) * p.slowness)
-			}
-			lost := number(name) <= p.lossy && within(at, p.lostAt, p.lostEnd) && losses.Float64() < p.lost
-			freeAt[name] = begins.Add(takes)
-			calls = append(calls, underWay{batch: b, ends: begins.Add(takes), lost: lost})
+		number := int(b.Server().Address.Addr().As4()[3])
+		begins := now
+		if p.freeAt[number].After(now) {
+			begins = p.freeAt[number]
 		}
-		waited := false
-		open = slices.DeleteFunc(open, func(a asked) bool {
-			failure, done := a.Done()
-			if !done {
-				waited = waited || a.Waiting() && now.Sub(a.at) > spec.CallTime
-				return false
-			}
-			r.waits = append(r.waits, now.Sub(a.at))
-			switch {
-			case failure != "":
-				r.ended++
-			case now.Before(a.latest):
-				r.inTime++
-			}
-			return true
-		})
-		for _, other := range servers {
-			if waited && !freeAt[other.Instance].After(now) {
-				r.idle += replayStep
-			}
+		takes := p.spec.CallTime + time.Duration(len(b.Requests()))*p.spec.PieceTime
+		if number > p.servers-p.slow && within(at, p.slowAt, p.slowEnd) {
+			takes = time.Duration(float64(takes) * p.slowness)
+		}
+		lost := number <= p.lossy && within(at, p.lostAt, p.lostEnd) && p.losses.Float64() < p.lost
+		p.freeAt[number] = begins.Add(takes)
+		p.calls = append(p.calls, underWay{batch: b, ends: begins.Add(takes), lost: lost})
+	}
+}
+
+// settle counts what has ended, and servers that stand idle.
+func (p *player) settle(at time.Duration) {
+	now := start.Add(at)
+	waited := false
+	p.open = slices.DeleteFunc(p.open, func(a asked) bool {
+		failure, done := a.Done()
+		if !done {
+			waited = waited || a.Waiting() && now.Sub(a.at) > p.spec.CallTime
+			return false
+		}
+		p.waits = append(p.waits, now.Sub(a.at))
+		switch {
+		case failure != "":
+			p.ended++
+		case now.Before(a.latest):
+			p.inTime++
+		}
+		return true
+	})
+	for _, free := range p.freeAt[1:] {
+		if waited && !free.After(now) {
+			p.idle += replayStep
 		}
 	}
-	slices.Sort(r.waits)
-	return r
 }
 
 // board has calls of 70 small pieces.
--- a/internal/stagepool/scheduler.go
+++ b/internal/stagepool/scheduler.go
@@ -19,11 +19,6 @@
 	// two calls. The inputs of one stage that crosses zones are priced like a
 	// small request.
 	zonePatience = 500 * time.Millisecond
-	// slowFactor is how much slower than the quickest a server must be to get
-	// work only when no other is left.
-	slowFactor = 2.5
-	// factorGain is the weight of one call in a server's factor.
-	factorGain = 0.4
 	// ejectFirst and ejectMost bound how long a failing server is left alone.
 	ejectFirst = 200 * time.Millisecond
 	ejectMost  = 3 * time.Second
@@ -42,9 +37,6 @@
 	lateMargin = 60 * time.Millisecond
 	// latelyWeight is how many calls the average time of calls comes from.
 	latelyWeight = 8
-	// factorFade is the half-life of a server's slowness, so that one that got
-	// well is tried again.
-	factorFade = 3 * time.Second
 	// roomPause is how long a server without room gets no work, unless results
 	// are given up there before.
 	roomPause = 50 * time.Millisecond
@@ -62,12 +54,6 @@
 	// counts its server as kept at work for a caller who left: after half a
 	// second, of which the ways and recheck take some.
 	unwantedFor = 300 * time.Millisecond
-	// slowOverdues is how many calls in a row must be overdue for a server to count as
-	// slow: one may be an answer that was lost.
-	slowOverdues = 2
-	// losingLeast is from which share of lost answers on a server gets work only when
-	// it would wait longer for the others.
-	losingLeast = 0.15
 	// recheck is how soon servers whose calls are overdue are looked at again.
 	recheck = 50 * time.Millisecond
 )
@@ -209,31 +195,6 @@
 	return s.fillSlow(now, slow, len(usable)-len(slow), zones)
 }
 
-// refuseClosed ends what waits that none of the servers there are takes, as when their
-// zones are evacuated, so that callers hear of it at once.
-func (s *scheduler) refuseClosed() {
-	if len(s.servers) == 0 {
-		return
-	}
-	s.waiting = slices.DeleteFunc(s.waiting, func(t *task) bool {
-		if s.taken(t) {
-			return false
-		}
-		t.finish(FailureClosed)
-		return true
-	})
-}
-
-// taken reports whether any of the servers may take a task.
-func (s *scheduler) taken(t *task) bool {
-	for _, state := range s.servers {
-		if !state.Leaving && t.allows(state.Server) {
-			return true
-		}
-	}
-	return false
-}
-
 // fillFree makes up a call for one of the free servers: the one that suits the
 // first task that any of them suits.
 func (s *scheduler) fillFree(now time.Time, free []*serverState, zones map[string]bool) *batch {
@@ -287,45 +248,6 @@
 	return inZone[one.Zone] > inZone[other.Zone]
 }
 
-// fillSlow gives a server that is slow or loses answers what would wait longer for
-// the quick ones than it takes there, from the end of the order. What was sent in
-// vain before is not sent again to one that loses answers.
-func (s *scheduler) fillSlow(now time.Time, slow []*serverState, quick int, zones map[string]bool) *batch {
-	if len(s.waiting) == 0 {
-		return nil
-	}
-	for _, state := range slow {
-		if s.waitFor(now, quick)+s.even(s.spec.Size) < s.likely(state, s.spec.Size) {
-			continue
-		}
-		slices.Reverse(s.waiting)
-		b := s.fill(now, state, s.spec.Size, s.pieces() > s.spec.Size, zones)
-		slices.Reverse(s.waiting)
-		if b != nil {
-			return b
-		}
-	}
-	return nil
-}
-
-// waitFor is how long the last of what waits does so for one of the quick servers:
-// longer where more comes meanwhile that goes before it.
-func (s *scheduler) waitFor(now time.Time, quick int) time.Duration {
-	if quick == 0 {
-		return never
-	}
-	last := s.waiting[len(s.waiting)-1]
-	rate := float64(s.spec.Size*quick*s.spec.Slots) / s.even(s.spec.Size).Seconds()
-	return s.reach(now, last, 0, rate, s.pieces()-len(last.pending))
-}
-
-// likely is how long so many pieces take at a server, sent anew elsewhere where the
-// answer is lost.
-func (s *scheduler) likely(state *serverState, pieces int) time.Duration {
-	expected := s.expected(state, pieces)
-	return expected + time.Duration(state.losing*float64(overdueAfter(expected)))
-}
-
 // fill makes up a call of at most so many pieces for a server; split says whether
 // tasks may be spread over calls.
 func (s *scheduler) fill(now time.Time, state *serverState, most int, split bool, zones map[string]bool) *batch {
--- a/internal/stagepool/server.go
+++ b/internal/stagepool/server.go
@@ -49,25 +49,3 @@
 	s.used += bytes
 	s.held[handle] = heldResult{bytes: bytes, expires: expires}
 }
-
-// overdue notes a call that took so many times as long as at an undisturbed server
-// and was given up. Its answer may be lost, or the server slow: that one which is slow
-// is overdue again.
-func (s *serverState) overdue(ratio float64) {
-	s.overdues++
-	s.losing += factorGain * (1 - s.losing)
-	if s.overdues >= slowOverdues {
-		s.factor = max(s.factor, ratio)
-	}
-}
-
-// answered notes that a call brought an answer.
-func (s *serverState) answered() {
-	s.overdues = 0
-	s.losing *= 1 - factorGain
-}
-
-// losesAnswers reports whether calls there are likely to be made in vain.
-func (s *serverState) losesAnswers() bool {
-	return s.losing >= losingLeast
-}
