stagepool: send again where all servers lose answers

Cause: what was sent in vain was kept from servers that lose answers, also where there are no others: a piece of a pool with one server waited some 4 s for the share to fade. Change: only while there are quick servers, and for 2.5 s at most.

--- a/internal/stagepool/scheduler.go
+++ b/internal/stagepool/scheduler.go
@@ -206,7 +206,7 @@
 		if best < 0 {
 			return nil
 		}
-		if b := s.fill(now, free[best], most, split, zones); b != nil {
+		if b := s.fill(now, free[best], callOf{most: most, split: split}, zones); b != nil {
 			return b
 		}
 		// It has no room for anything that waits.
@@ -248,21 +248,29 @@
 	return inZone[one.Zone] > inZone[other.Zone]
 }
 
-// fill makes up a call of at most so many pieces for a server; split says whether
-// tasks may be spread over calls.
-func (s *scheduler) fill(now time.Time, state *serverState, most int, split bool, zones map[string]bool) *batch {
+// callOf is what a call may have.
+type callOf struct {
+	// most bounds its pieces; split says whether tasks may be spread over calls.
+	most  int
+	split bool
+	// fresh leaves out what was sent in vain before, for a while.
+	fresh bool
+}
+
+// fill makes up a call for a server.
+func (s *scheduler) fill(now time.Time, state *serverState, c callOf, zones map[string]bool) *batch {
 	b := &batch{server: state, target: state.Server, began: now}
 	room := s.spec.Room - state.used
 	for _, t := range s.waiting {
-		if !s.fits(now, t, state, zones) || state.losesAnswers() && t.sentInVain() {
+		if !s.fits(now, t, state, zones) || c.fresh && t.sentInVain() && now.Sub(t.arrived) < vainPatience {
 			continue
 		}
-		b.take(t, s.takes(t, b, most, split, room))
+		b.take(t, s.takes(t, b, c.most, c.split, room))
 		if len(t.pending) > 0 && len(t.pending) < len(t.Pieces) && t.heavy() {
 			// The rest is best made where this part is.
 			t.Zone = state.Zone
 		}
-		if len(b.items) >= most {
+		if len(b.items) >= c.most {
 			break
 		}
 	}
--- a/internal/stagepool/scheduler_test.go
+++ b/internal/stagepool/scheduler_test.go
@@ -165,6 +165,16 @@
 	assert.Assert(t, one.Server() != other.Server(), "both get work again")
 }
 
+// A piece whose answer was lost waited for seconds where every server had lost one.
+func TestWhereAllServersLoseAnswersPiecesAreSentAgain(t *testing.T) {
+	s := stagepool.NewScheduler(spec, server(1, "a"))
+	s.Add(start, work("x", 1))
+	next(t, s, start)
+	now := start.Add(time.Second)
+	assert.Equal(t, s.Overdue(now), 1)
+	assert.DeepEqual(t, next(t, s, now.Add(100*time.Millisecond)).Requests(), []string{"x"})
+}
+
 func TestNoCallBeyondTheRoomOfAServer(t *testing.T) {
 	s := stagepool.NewScheduler(spec, server(1, "a"))
 	add := func(name string) {
--- a/internal/stagepool/slow.go
+++ b/internal/stagepool/slow.go
@@ -28,11 +28,14 @@
 	// losingLeast is from which share of lost answers on a server gets work only when
 	// it would wait longer for the others.
 	losingLeast = 0.15
+	// vainPatience is how long work that was sent in vain waits for a server that loses
+	// no answers, where there is any.
+	vainPatience = 2500 * time.Millisecond
 )
 
 // fillSlow gives a server that is slow or loses answers what would wait longer for
 // the quick ones than it takes there, from the end of the order. What was sent in
-// vain before is not sent again to one that loses answers.
+// vain before waits a while for one that loses no answers, unless all do.
 func (s *scheduler) fillSlow(now time.Time, slow []*serverState, quick int, zones map[string]bool) *batch {
 	if len(s.waiting) == 0 {
 		return nil
@@ -42,7 +45,7 @@
 			continue
 		}
 		slices.Reverse(s.waiting)
-		b := s.fill(now, state, s.spec.Size, s.pieces() > s.spec.Size, zones)
+		b := s.fill(now, state, callOf{most: s.spec.Size, split: s.pieces() > s.spec.Size, fresh: quick > 0 && state.losesAnswers()}, zones)
 		slices.Reverse(s.waiting)
 		if b != nil {
 			return b
