--- a/internal/placing/book.go
+++ b/internal/placing/book.go
@@ -4,7 +4,6 @@
 package placing
 
 import (
-	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -57,13 +56,6 @@
 	// 10 prompts of a kind with four first parts, and others stood idle.
 	homesLeast = 4
 	homesShare = 0.25
-	// slownessGain is the weight of one first event in the slowness of all engines: some
-	// fifty of them tell, a third of a second of a busy pool. One that took more than
-	// reportMost times as long as expected counts as so many times.
-	slownessGain  = 0.02
-	reportMost    = 2.0
-	slownessLeast = 0.5
-	slownessMost  = 4.0
 	// ranksMost is how many places count.
 	ranksMost = 4
 )
@@ -155,11 +147,6 @@
 	engines map[string]*engine
 	// since is when the owner began to place prompts.
 	since time.Time
-	// slowness is how long first events take over what ReadTime says, learned from all
-	// engines: their rates differ between deployments, and the steps of what runs
-	// beside come between the pieces of a prompt. It is within slownessLeast and
-	// slownessMost.
-	slowness float64
 	// warm has for each shared part the engines that read it.
 	warm *lru.Cache[uint64, map[string]reading]
 }
@@ -182,7 +169,7 @@
 func NewBook() *Book {
 	// The only error is a size below 1.
 	warm, _ := lru.New[uint64, map[string]reading](warmMost)
-	return &Book{engines: make(map[string]*engine), warm: warm, slowness: 1}
+	return &Book{engines: make(map[string]*engine), warm: warm}
 }
 
 // SetEngines replaces the engines; what is known of those that stay is kept.
@@ -210,15 +197,6 @@
 		ratio = r.First.Seconds() / r.Expected.Seconds()
 	}
 	e.health.Ended(now, ratio, r.Failed)
-	if ratio > 0 {
-		b.slowness *= math.Pow(min(max(ratio, 1/reportMost), reportMost), slownessGain)
-		b.slowness = min(max(b.slowness, slownessLeast), slownessMost)
-	}
-}
-
-// reads is how long an engine takes for a plan.
-func (b *Book) reads(now time.Time, e *engine, l plan, p Prompt) time.Duration {
-	return time.Duration(float64(l.time(e, p)) * b.slowness * e.health.Ratio(now))
 }
 
 // Place names the engine that costs least and notes the prompt there.
@@ -241,13 +219,13 @@
 		return Place{Wait: wait}
 	}
 	plan := planOf(best, p, b.missing(now, best, p), from)
-	even := time.Duration(float64(plan.time(best, p)) * b.slowness)
+	even := plan.time(best, p)
 	best.health.Try(now)
 	if best.ColdMost > 0 {
 		best.pace.note(now)
 	}
 	wait = max(best.freeAt.Sub(now), 0)
-	best.freeAt = now.Add(wait + b.reads(now, best, plan, p))
+	best.freeAt = now.Add(wait + time.Duration(float64(even)*best.health.Ratio(now)))
 	b.remember(now, p.First, best.Instance)
 	b.remember(now, p.Shared, best.Instance)
 	place := Place{Instance: best.Instance, Wait: wait, Expected: wait + even + Overhead}
@@ -349,7 +327,7 @@
 		missing = int(youngDoubt * float64(missing))
 	}
 	plan := planOf(e, p, missing, from)
-	first := max(e.freeAt.Sub(now), 0) + b.reads(now, e, plan, p)
+	first := max(e.freeAt.Sub(now), 0) + time.Duration(float64(plan.time(e, p))*e.health.Ratio(now))
 	cost := first + plan.price(e)
 	if p.Left > 0 && first+Overhead > p.Left {
 		cost += lateCost
