placing: take back the first start of all

Not better over all; what was placed away from home in the first seconds stays there and later owners look for it at home.

--- a/internal/enginepool/group.go
+++ b/internal/enginepool/group.go
@@ -28,10 +28,6 @@
 	ownersTried = 2
 	// reportsMost bounds the reports that wait for the next question.
 	reportsMost = 64
-	// coldFor is how long after the first start of all an owner that begins takes
-	// engines to keep nothing. One that begins later follows another, and finds in the
-	// prompts' homes what that one put there.
-	coldFor = 20 * time.Second
 )
 
 // Options are a Group's dependencies; all are needed.
@@ -40,9 +36,6 @@
 	HTTP   *http.Client
 	Log    logrus.FieldLogger
 	Scope  tally.Scope
-	// FirstStart says that the whole deployment starts for the first time: for a while
-	// engines keep nothing.
-	FirstStart bool
 }
 
 // Group has the engines of all services and finds their owners. It is safe for
@@ -50,7 +43,6 @@
 type Group struct {
 	options Options
 	ctx     context.Context
-	start   time.Time
 
 	mu sync.Mutex
 	// shards has the engines of each shard; counts how many shards a service
@@ -68,7 +60,6 @@
 	return &Group{
 		options: options,
 		ctx:     ctx,
-		start:   time.Now(),
 		shards:  make(map[string][]placing.Engine),
 		counts:  make(map[string]int),
 		books:   make(map[string]*placing.Book),
@@ -134,9 +125,6 @@
 	b := g.books[shard]
 	if b == nil {
 		b = placing.NewBook()
-		if g.options.FirstStart && time.Since(g.start) < coldFor {
-			b.StartCold()
-		}
 		b.SetEngines(g.shards[shard])
 		g.books[shard] = b
 	}
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -146,9 +146,7 @@
 		Log:    n.log,
 		Scope:  o.Scope.SubScope("stages"),
 	})
-	n.engines = enginepool.New(ctx, enginepool.Options{
-		Owners: owners, HTTP: n.peers, Log: n.log, Scope: o.Scope.SubScope("engines"), FirstStart: s.FirstStart,
-	})
+	n.engines = enginepool.New(ctx, enginepool.Options{Owners: owners, HTTP: n.peers, Log: n.log, Scope: o.Scope.SubScope("engines")})
 	n.confirm = newConfirmer(n)
 	n.core = relay.New(relay.Options{
 		Zone:         s.Zone,
--- a/internal/placing/book.go
+++ b/internal/placing/book.go
@@ -48,9 +48,8 @@
 	homeStep = 10 * time.Millisecond
 	// youngDoubt is the share of a prompt's shared parts that an owner takes the
 	// prompt's home to lack while it is new and does not know; it has seen most
-	// of them after youngFor. At the first start of all it is coldDoubt.
+	// of them after youngFor.
 	youngDoubt = 0.3
-	coldDoubt  = 1.0
 	youngFor   = 20 * time.Second
 	// homesLeast is the fewest engines that keep a first shared part, and homesShare
 	// the share of the pool that may: four engines of 160 were the homes of 2.5 in
@@ -148,9 +147,6 @@
 	engines map[string]*engine
 	// since is when the owner began to place prompts.
 	since time.Time
-	// doubt is the share of its shared parts that a prompt's home is taken to lack
-	// while the owner is new.
-	doubt float64
 	// warm has for each shared part the engines that read it.
 	warm *lru.Cache[uint64, map[string]reading]
 }
@@ -173,13 +169,7 @@
 func NewBook() *Book {
 	// The only error is a size below 1.
 	warm, _ := lru.New[uint64, map[string]reading](warmMost)
-	return &Book{engines: make(map[string]*engine), warm: warm, doubt: youngDoubt}
-}
-
-// StartCold says that no engine keeps anything yet, as at the first start of a whole
-// deployment.
-func (b *Book) StartCold() {
-	b.doubt = coldDoubt
+	return &Book{engines: make(map[string]*engine), warm: warm}
 }
 
 // SetEngines replaces the engines; what is known of those that stay is kept.
@@ -334,7 +324,7 @@
 	missing := b.missing(now, e, p)
 	rank, home := ranks[e.Instance]
 	if home && rank == 0 && now.Sub(b.since) < youngFor {
-		missing = int(b.doubt * float64(missing))
+		missing = int(youngDoubt * float64(missing))
 	}
 	plan := planOf(e, p, missing, from)
 	first := max(e.freeAt.Sub(now), 0) + time.Duration(float64(plan.time(e, p))*e.health.Ratio(now))
