notice, platform: show what backend servers say of themselves

Cause: the logs could not tell whether answers that say that their server leaves or rests are not read, or read and forgotten. Change: internal/notice holds what answers tell of their servers, with where it is from, its age and end; it is logged, counted and dumped. No path asks it yet. platform reads the two headers; a head no longer tells of Connection: close, which nothing used.

--- a/internal/gateway/dump.go
+++ b/internal/gateway/dump.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wingvale/wingvale/internal/fleet"
+	"github.com/wingvale/wingvale/internal/notice"
 	"github.com/wingvale/wingvale/internal/published"
 	"github.com/wingvale/wingvale/internal/relay"
 	"github.com/wingvale/wingvale/internal/settings"
@@ -17,8 +18,10 @@
 const (
 	// dumpKeys bounds the keys of each published space in a dump.
 	dumpKeys = 200
-	// dumpSuspects bounds the suspected requests in a dump.
+	// dumpSuspects bounds the suspected requests in a dump, and dumpNotices the backend
+	// servers that leave or rest.
 	dumpSuspects = 50
+	dumpNotices  = 200
 )
 
 // Dump is what a node knows, for people.
@@ -36,6 +39,7 @@
 	Servers       []relay.ServerState        `json:"servers"`
 	Pools         map[string]stagepool.State `json:"pools"`
 	Suspects      []suspect.Entry            `json:"suspects,omitempty"`
+	Notices       []notice.Entry             `json:"notices,omitempty"`
 	Connections   int64                      `json:"connections_opened"`
 }
 
@@ -54,6 +58,7 @@
 		Servers:       n.core.Servers(),
 		Pools:         n.stages.State(),
 		Suspects:      n.suspects.State(dumpSuspects),
+		Notices:       n.notices.State(dumpNotices),
 		Connections:   n.backends.Opened(),
 	}
 	if catalog := n.core.Catalog(); catalog != nil {
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -20,6 +20,7 @@
 	"github.com/wingvale/wingvale/internal/enginepool"
 	"github.com/wingvale/wingvale/internal/exchange"
 	"github.com/wingvale/wingvale/internal/fleet"
+	"github.com/wingvale/wingvale/internal/notice"
 	"github.com/wingvale/wingvale/internal/owner"
 	"github.com/wingvale/wingvale/internal/peer"
 	"github.com/wingvale/wingvale/internal/peer/peerpb"
@@ -50,8 +51,8 @@
 	DecodeServer    func(key string, data []byte) (relay.Server, error)
 	Dialect         relay.Dialect
 	// StageDriver returns what speaks to stage servers over the connections of
-	// pool.
-	StageDriver func(pool *exchange.Pool) stagepool.Driver
+	// pool, and notes what they say of themselves.
+	StageDriver func(pool *exchange.Pool, notices *notice.Book) stagepool.Driver
 	Seed        uint64
 	// Boot is the clock that goes on while the host is suspended, which the steady one
 	// doesn't.
@@ -73,6 +74,7 @@
 	backends   *exchange.Pool
 	stages     *stagepool.Group
 	engines    *enginepool.Group
+	notices    *notice.Book
 	suspects   *trial.Group
 	core       *relay.Core
 	members    *members
@@ -133,6 +135,7 @@
 	}, now, fleet.Options{})
 	owners := owner.NewFinder(s.Callers, n.live)
 	n.suspects = n.newSuspects()
+	n.notices = n.newNotices()
 	n.gossip = peer.New(peer.Options{
 		View:     n.view,
 		Spaces:   peer.Spaces{peerpb.Space_SPACE_CONFIGURATION: n.directives, peerpb.Space_SPACE_HOSTS: n.listed},
@@ -149,7 +152,7 @@
 	n.stages = stagepool.New(ctx, stagepool.Options{
 		Self:   s.Callers,
 		Owners: owners,
-		Driver: o.StageDriver(n.backends),
+		Driver: o.StageDriver(n.backends, n.notices),
 		HTTP:   n.peers,
 		Log:    n.log,
 		Scope:  o.Scope.SubScope("stages"),
@@ -162,6 +165,7 @@
 		Servers:      n.backends,
 		Stages:       n.stages,
 		Engines:      n.engines,
+		Notices:      n.notices,
 		Suspects:     n.suspects,
 		Confirm:      n.confirm.now,
 		Settled:      n.settled,
@@ -421,6 +425,7 @@
 			pruned = now
 			n.backends.Prune(now)
 			n.suspects.Forget()
+			n.notices.Forget()
 		}
 		timer.Reset(tickEvery)
 	}
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -16,6 +16,7 @@
 	"github.com/wingvale/wingvale/internal/enginepool"
 	"github.com/wingvale/wingvale/internal/estimate"
 	"github.com/wingvale/wingvale/internal/exchange"
+	"github.com/wingvale/wingvale/internal/notice"
 	"github.com/wingvale/wingvale/internal/stagepool"
 	"github.com/wingvale/wingvale/internal/trial"
 )
@@ -27,6 +28,8 @@
 	Servers *exchange.Pool
 	Stages  *stagepool.Group
 	Engines *enginepool.Group
+	// Notices has what backend servers say of themselves.
+	Notices *notice.Book
 	// Suspects has the requests under which backend servers end.
 	Suspects *trial.Group
 	// Confirm makes sure that the configuration in force is the newest there
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"github.com/wingvale/wingvale/internal/notice"
 )
 
 // Request is one request of a caller.
@@ -77,8 +79,8 @@
 	Misdirected bool
 	// Signed says that the answer bears the server's signature.
 	Signed bool
-	// Leaving says that the server closes the connection.
-	Leaving bool
+	// Notice is what the answer tells of its server.
+	Notice notice.Notice
 }
 
 // Dialect knows the names on the wire.
@@ -87,8 +89,8 @@
 	Header(request *Request, send Send) http.Header
 	// Mine reports whether an answer is to the request with id.
 	Mine(id string, status int, header http.Header) bool
-	// Head reads the head of an answer.
-	Head(status int, header http.Header) Head
+	// Head reads the head of an answer of a run of a server.
+	Head(instance string, status int, header http.Header) Head
 }
 
 // Sink takes an answer as it comes.
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/wingvale/wingvale/internal/exchange"
+	"github.com/wingvale/wingvale/internal/notice"
 	"github.com/wingvale/wingvale/verdict"
 )
 
@@ -53,7 +54,8 @@
 		j.note(s, "failed", err)
 		return nil, Head{}, err
 	}
-	head := o.Dialect.Head(answer.Status, answer.Header)
+	head := o.Dialect.Head(s.Instance, answer.Status, answer.Header)
+	o.Notices.Heard(notice.Server{Instance: s.Instance, Address: s.Address}, head.Notice)
 	if head.NotRun {
 		_ = answer.Body.Close()
 		if head.Misdirected {
