gateway, peer, fleet: send nothing to servers whose answers say that they leave

Cause: what an answer tells of its server was not read, and only the store's entry made a server leave; with the store silent for 13 s an engine got 30 requests after it had said so. Ruled out: that it was read and forgotten (nothing of the kind was logged with the sight added), and that requests had waited since before. Change: what internal/notice holds is in force with the published servers, so that every path which chooses a server asks it; hosts tell each other, with the age, in heartbeats that follow at once. It holds for that run of the server, whatever its entry says later. A run that follows another at its address no longer loses its mark to it (fleet.View held one for each address; test). In old checks View.News got the moment as an argument.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -130,7 +130,7 @@
 		random := rand.New(rand.NewPCG(1, 1))
 		size := 0
 		for range 100 {
-			size += messageSize(view.News(random))
+			size += messageSize(view.News(time.Now(), random))
 		}
 		t.Logf("member: %d -> %.0f bytes each; heartbeat news %d bytes", count, per, size/100)
 	}
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/wingvale/wingvale/pipeline"
 	"github.com/wingvale/wingvale/request"
@@ -100,6 +101,22 @@
 	Instance string `json:"instance"`
 }
 
+// Leaving tells a peer of a backend server that leaves.
+type Leaving struct {
+	LeavingServer
+	// Age is how long ago the first node heard of it, so that it ends everywhere at
+	// about the same time: told anew without its age, a mark goes round for ever.
+	Age time.Duration
+}
+
+// compare orders servers by address, then by run.
+func (s LeavingServer) compare(other LeavingServer) int {
+	if c := s.Address.Compare(other.Address); c != 0 {
+		return c
+	}
+	return cmp.Compare(s.Instance, other.Instance)
+}
+
 // Check reports the first thing wrong with s.
 func (s LeavingServer) Check() error {
 	if !s.Address.IsValid() || len(s.Instance) > pipeline.MaxNameBytes {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -49,7 +49,9 @@
 	// self is what the node says of itself; its Beat never falls.
 	self    Member
 	members map[netip.AddrPort]*known
-	leaving map[netip.AddrPort]*mark
+	// leaving has each run that leaves, also those that had the same address one after
+	// another.
+	leaving map[LeavingServer]*mark
 	// undisturbed is when a member last came, went or changed its state.
 	undisturbed time.Time
 	// summed has the sums of the view; nil where it changed since they were made.
@@ -79,7 +81,7 @@
 		options:     options,
 		self:        self,
 		members:     make(map[netip.AddrPort]*known),
-		leaving:     make(map[netip.AddrPort]*mark),
+		leaving:     make(map[LeavingServer]*mark),
 		undisturbed: now,
 	}
 }
@@ -234,9 +236,9 @@
 			delete(v.members, address)
 		}
 	}
-	for address, m := range v.leaving {
+	for s, m := range v.leaving {
 		if now.Sub(m.since) >= v.options.LeavingFor {
-			delete(v.leaving, address)
+			delete(v.leaving, s)
 		}
 	}
 }
@@ -244,16 +246,17 @@
 // MarkLeaving notes that a run of a backend server is leaving and reports
 // whether that was new.
 func (v *View) MarkLeaving(now time.Time, s LeavingServer) bool {
+	return v.HeardLeaving(now, Leaving{LeavingServer: s})
+}
+
+// HeardLeaving is MarkLeaving for what a peer tells.
+func (v *View) HeardLeaving(now time.Time, s Leaving) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	old := v.leaving[s.Address]
-	if old != nil && old.Instance == s.Instance {
+	if v.leaving[s.LeavingServer] != nil || len(v.leaving) >= maxLeaving || s.Age >= v.options.LeavingFor {
 		return false
 	}
-	if old == nil && len(v.leaving) >= maxLeaving {
-		return false
-	}
-	v.leaving[s.Address] = &mark{LeavingServer: s, since: now}
+	v.leaving[s.LeavingServer] = &mark{LeavingServer: s.LeavingServer, since: now.Add(-s.Age)}
 	return true
 }
 
@@ -262,8 +265,12 @@
 func (v *View) IsLeaving(address netip.AddrPort, instance string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	m := v.leaving[address]
-	return m != nil && (instance == "" || m.Instance == "" || m.Instance == instance)
+	for s := range v.leaving {
+		if s.Address == address && (instance == "" || s.Instance == "" || s.Instance == instance) {
+			return true
+		}
+	}
+	return false
 }
 
 // Members returns a copy of all members but the node itself, in order.
@@ -310,7 +317,7 @@
 	for _, m := range v.leaving {
 		servers = append(servers, m.LeavingServer)
 	}
-	slices.SortFunc(servers, func(a, b LeavingServer) int { return a.Address.Compare(b.Address) })
+	slices.SortFunc(servers, LeavingServer.compare)
 	return servers
 }
 
@@ -345,14 +352,14 @@
 // News is what one message passes on.
 type News struct {
 	Members []Member
-	Leaving []LeavingServer
+	Leaving []Leaving
 }
 
 // News returns the node itself and at most MaxNews members and servers: what
 // has been passed on least often first, then a few at random so that views
 // that were cut off from each other meet again. Among equals the order is random:
 // else all nodes of a fleet that starts pass the same few members on.
-func (v *View) News(random *rand.Rand) News {
+func (v *View) News(now time.Time, random *rand.Rand) News {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	spreads := spreadFactor * bits.Len(uint(len(v.members)+1))
@@ -373,11 +380,11 @@
 	for len(rest) > 0 && len(news.Members) <= MaxNews/4 {
 		news.Members = append(news.Members, rest[random.IntN(len(rest))].Member)
 	}
-	news.Leaving = v.leavingNews(spreads, random)
+	news.Leaving = v.leavingNews(now, spreads, random)
 	return news
 }
 
-func (v *View) leavingNews(spreads int, random *rand.Rand) []LeavingServer {
+func (v *View) leavingNews(now time.Time, spreads int, random *rand.Rand) []Leaving {
 	all := make([]*mark, 0, len(v.leaving))
 	for _, m := range v.leaving {
 		all = append(all, m)
@@ -386,18 +393,23 @@
 		if a.spreads != b.spreads {
 			return a.spreads - b.spreads
 		}
-		return a.Address.Compare(b.Address)
+		return a.compare(b.LeavingServer)
 	})
-	var news []LeavingServer
+	var news []Leaving
 	for _, m := range all {
 		if m.spreads >= spreads || len(news) >= MaxNews {
 			break
 		}
 		m.spreads++
-		news = append(news, m.LeavingServer)
+		news = append(news, m.told(now))
 	}
 	if len(all) > 0 && len(news) == 0 {
-		news = append(news, all[random.IntN(len(all))].LeavingServer)
+		news = append(news, all[random.IntN(len(all))].told(now))
 	}
 	return news
 }
+
+// told is what peers are told of the server.
+func (m *mark) told(now time.Time) Leaving {
+	return Leaving{LeavingServer: m.LeavingServer, Age: max(now.Sub(m.since), 0)}
+}
--- a/internal/fleet/view_test.go
+++ b/internal/fleet/view_test.go
@@ -106,6 +106,33 @@
 	assert.Assert(t, v.IsLeaving(server, "one"))
 	assert.Assert(t, v.IsLeaving(server, ""))
 	assert.Assert(t, !v.IsLeaving(server, "two"))
+	// A later run at the address leaves too, and a peer tells of the first once more: with
+	// one held for each address, what was known of the later run was lost.
+	v.MarkLeaving(start, fleet.LeavingServer{Address: server, Instance: "two"})
+	v.MarkLeaving(start, fleet.LeavingServer{Address: server, Instance: "one"})
+	assert.Assert(t, v.IsLeaving(server, "two"))
+}
+
+// A mark that was told without its age came back from a peer that had heard of it later,
+// and with three nodes it never ended.
+func TestMarksOfLeavingServersEnd(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	server := fleet.LeavingServer{Address: member(9, 0, 0, 0).Address, Instance: "one"}
+	views := []*fleet.View{fleet.New(self, start, fleet.Options{}), fleet.New(member(2, 1, 1, fleet.StateLive), start, fleet.Options{})}
+	views[0].MarkLeaving(start, server)
+	for minute := range 180 {
+		now := start.Add(time.Duration(minute) * time.Minute)
+		for i, v := range views {
+			v.Tick(now, func(netip.AddrPort) bool { return true })
+			for _, l := range views[1-i].News(now, random).Leaving {
+				v.HeardLeaving(now, l)
+			}
+		}
+		if minute == 50 {
+			assert.Assert(t, views[1].IsLeaving(server.Address, server.Instance))
+		}
+	}
+	assert.Equal(t, len(views[0].Leaving())+len(views[1].Leaving()), 0)
 }
 
 func TestNewsIsBoundedAndReachesAll(t *testing.T) {
@@ -117,7 +144,7 @@
 	random := rand.New(rand.NewPCG(1, 1))
 	told := make(map[string]bool)
 	for range 400 {
-		news := v.News(random)
+		news := v.News(start, random)
 		assert.Equal(t, news.Members[0].Address, self.Address)
 		assert.Assert(t, len(news.Members) <= fleet.MaxNews+1, "got %d members", len(news.Members))
 		assert.Assert(t, len(news.Leaving) <= fleet.MaxNews, "got %d servers", len(news.Leaving))
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,13 +23,11 @@
 	"github.com/wingvale/wingvale/internal/owner"
 	"github.com/wingvale/wingvale/internal/peer"
 	"github.com/wingvale/wingvale/internal/peer/peerpb"
-	"github.com/wingvale/wingvale/internal/peerhttp"
 	"github.com/wingvale/wingvale/internal/published"
 	"github.com/wingvale/wingvale/internal/publisher"
 	"github.com/wingvale/wingvale/internal/relay"
 	"github.com/wingvale/wingvale/internal/settings"
 	"github.com/wingvale/wingvale/internal/stagepool"
-	"github.com/wingvale/wingvale/internal/suspect"
 	"github.com/wingvale/wingvale/internal/trial"
 	"github.com/wingvale/wingvale/request"
 )
@@ -136,19 +133,7 @@
 	owners := owner.NewFinder(s.Callers, n.live)
 	n.suspects = n.newSuspects()
 	n.notices = n.newNotices()
-	n.gossip = peer.New(peer.Options{
-		View:     n.view,
-		Spaces:   peer.Spaces{peerpb.Space_SPACE_CONFIGURATION: n.directives, peerpb.Space_SPACE_HOSTS: n.listed},
-		HTTP:     n.peers,
-		Log:      n.log,
-		Scope:    o.Scope.SubScope("peer"),
-		Random:   child(random),
-		Listed:   func(netip.AddrPort) bool { return true },
-		Accepted: func(peerpb.Space, []published.Entry) { n.refresh() },
-		Link:     s.Link * bytesPerMegabit,
-		Confirm:  func(ctx context.Context, space peerpb.Space) bool { return n.confirm.forPeer(ctx, space) },
-		Suspects: n.suspects,
-	})
+	n.gossip = n.newGossip()
 	n.stages = stagepool.New(ctx, stagepool.Options{
 		Self:   s.Callers,
 		Owners: owners,
@@ -159,26 +144,7 @@
 	})
 	n.engines = enginepool.New(ctx, enginepool.Options{Owners: owners, HTTP: n.peers, Log: n.log, Scope: o.Scope.SubScope("engines")})
 	n.confirm = newConfirmer(n)
-	n.core = relay.New(relay.Options{
-		Zone:         s.Zone,
-		Dialect:      o.Dialect,
-		Servers:      n.backends,
-		Stages:       n.stages,
-		Engines:      n.engines,
-		Notices:      n.notices,
-		Suspects:     n.suspects,
-		Confirm:      n.confirm.now,
-		Settled:      n.settled,
-		Boot:         o.Boot,
-		Heard:        n.gossip.Heard(),
-		Hosts:        n.hosts,
-		Log:          n.log,
-		Scope:        o.Scope,
-		Random:       child(random),
-		RetryShare:   s.RetryShare,
-		RetryReserve: s.RetryReserve,
-		RetryWindow:  s.RetryWindow,
-	})
+	n.core = n.newCore()
 	n.members = newMembers()
 	n.reading = newReading()
 	n.watchers = []*publisher.Watcher{
@@ -188,22 +154,6 @@
 	return n
 }
 
-// newSuspects returns what is known of requests under which servers end, shared by
-// gossip. A host that answers no question for a try is passed over for those alone: the
-// pools that it owns may be well.
-func (n *Node) newSuspects() *trial.Group {
-	return trial.New(trial.Options{
-		Owners: owner.NewFinder(n.settings.Callers, n.live),
-		Spread: func(ends []suspect.End) { n.gossip.SpreadEnds(ends) },
-		Ask: func(ctx context.Context, peer netip.AddrPort, digest suspect.Digest) (bool, error) {
-			return n.gossip.AskTry(ctx, peer, digest)
-		},
-		Tell:  func(peer netip.AddrPort, digest suspect.Digest) { n.gossip.TellTry(peer, digest) },
-		Log:   n.log,
-		Scope: n.options.Scope,
-	})
-}
-
 // bytesPerMegabit are the bytes a second of a link of 1 Mbit/s.
 const bytesPerMegabit = 1e6 / 8
 
@@ -231,10 +181,6 @@
 // peerIdle is how long connections from other hosts are kept.
 const peerIdle = 60 * time.Second
 
-func newPeerClient(dial exchange.Dial, scope tally.Scope) *http.Client {
-	return &http.Client{Transport: traffic{scope: scope}.client(peerhttp.New(peerhttp.Dial(dial), scope))}
-}
-
 // watchersAll is up to how many nodes all watch; above, watchersPerZone do in
 // each availability zone, and the rest hear from peers.
 const (
@@ -483,6 +429,7 @@
 		servers[i].Region = n.settings.Regions[s.Zone]
 	}
 	n.evacuation.mark(n.directives.Values(), servers, n.log)
+	n.markLeaving(servers)
 	if catalog := n.core.Catalog(); catalog != nil {
 		keepBounded(catalog, servers)
 	}
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -6,7 +6,9 @@
 import (
 	"math/rand/v2"
 
+	"github.com/wingvale/wingvale/internal/fleet"
 	"github.com/wingvale/wingvale/internal/notice"
+	"github.com/wingvale/wingvale/internal/relay"
 )
 
 // noticesStream keeps the chance by which rests end from that of the other parts.
@@ -19,6 +21,39 @@
 		Random: rand.New(rand.NewPCG(n.options.Seed, noticesStream|uint64(n.settings.Callers.Port()))),
 		Log:    n.log,
 		Scope:  n.options.Scope,
-		Leaves: func(notice.Server, notice.Source) {},
+		Leaves: n.serverLeaves,
 	})
 }
+
+// serverLeaves brings it into force at once that a backend server leaves. What it told
+// this host is passed on: the publisher may be away, and then its answers alone tell.
+func (n *Node) serverLeaves(s notice.Server, from notice.Source) {
+	if from == notice.SourceList {
+		// It is being brought into force, and others read it themselves.
+		return
+	}
+	if from == notice.SourceAnswer {
+		n.gossip.TellLeaving(fleet.LeavingServer{Address: s.Address, Instance: s.Instance})
+	}
+	n.refresh()
+}
+
+// peerTold takes in that another host knows of a backend server that leaves.
+func (n *Node) peerTold(s fleet.LeavingServer) {
+	n.notices.Left(notice.Server{Instance: s.Instance, Address: s.Address}, notice.SourcePeer)
+}
+
+// markLeaving marks the servers that are known to leave, whatever their entries say now: an
+// entry may be older than an answer, or be written again by who knows less.
+func (n *Node) markLeaving(servers []relay.Server) {
+	instances := make([]string, 0, len(servers))
+	for i, s := range servers {
+		instances = append(instances, s.Instance)
+		if s.Leaving {
+			n.notices.Left(notice.Server{Instance: s.Instance, Address: s.Address}, notice.SourceList)
+			continue
+		}
+		servers[i].Leaving = n.notices.Leaving(s.Instance)
+	}
+	n.notices.Listed(instances)
+}
--- /dev/null
+++ b/internal/gateway/parts.go
@@ -0,0 +1,85 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/wingvale/wingvale/internal/exchange"
+	"github.com/wingvale/wingvale/internal/owner"
+	"github.com/wingvale/wingvale/internal/peer"
+	"github.com/wingvale/wingvale/internal/peer/peerpb"
+	"github.com/wingvale/wingvale/internal/peerhttp"
+	"github.com/wingvale/wingvale/internal/published"
+	"github.com/wingvale/wingvale/internal/relay"
+	"github.com/wingvale/wingvale/internal/suspect"
+	"github.com/wingvale/wingvale/internal/trial"
+)
+
+// newGossip returns the node's part of the talk with its peers.
+func (n *Node) newGossip() *peer.Gossip {
+	return peer.New(peer.Options{
+		View:     n.view,
+		Spaces:   peer.Spaces{peerpb.Space_SPACE_CONFIGURATION: n.directives, peerpb.Space_SPACE_HOSTS: n.listed},
+		HTTP:     n.peers,
+		Log:      n.log,
+		Scope:    n.options.Scope.SubScope("peer"),
+		Random:   child(n.random),
+		Listed:   func(netip.AddrPort) bool { return true },
+		Accepted: func(peerpb.Space, []published.Entry) { n.refresh() },
+		Link:     n.settings.Link * bytesPerMegabit,
+		Confirm:  func(ctx context.Context, space peerpb.Space) bool { return n.confirm.forPeer(ctx, space) },
+		Suspects: n.suspects,
+		Leaving:  n.peerTold,
+	})
+}
+
+// newCore returns what serves requests.
+func (n *Node) newCore() *relay.Core {
+	s, o := n.settings, n.options
+	return relay.New(relay.Options{
+		Zone:         s.Zone,
+		Dialect:      o.Dialect,
+		Servers:      n.backends,
+		Stages:       n.stages,
+		Engines:      n.engines,
+		Notices:      n.notices,
+		Suspects:     n.suspects,
+		Confirm:      n.confirm.now,
+		Settled:      n.settled,
+		Boot:         o.Boot,
+		Heard:        n.gossip.Heard(),
+		Hosts:        n.hosts,
+		Log:          n.log,
+		Scope:        o.Scope,
+		Random:       child(n.random),
+		RetryShare:   s.RetryShare,
+		RetryReserve: s.RetryReserve,
+		RetryWindow:  s.RetryWindow,
+	})
+}
+
+// newSuspects returns what is known of requests under which servers end, shared by
+// gossip. A host that answers no question for a try is passed over for those alone: the
+// pools that it owns may be well.
+func (n *Node) newSuspects() *trial.Group {
+	return trial.New(trial.Options{
+		Owners: owner.NewFinder(n.settings.Callers, n.live),
+		Spread: func(ends []suspect.End) { n.gossip.SpreadEnds(ends) },
+		Ask: func(ctx context.Context, peer netip.AddrPort, digest suspect.Digest) (bool, error) {
+			return n.gossip.AskTry(ctx, peer, digest)
+		},
+		Tell:  func(peer netip.AddrPort, digest suspect.Digest) { n.gossip.TellTry(peer, digest) },
+		Log:   n.log,
+		Scope: n.options.Scope,
+	})
+}
+
+func newPeerClient(dial exchange.Dial, scope tally.Scope) *http.Client {
+	return &http.Client{Transport: traffic{scope: scope}.client(peerhttp.New(peerhttp.Dial(dial), scope))}
+}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -5,7 +5,9 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
+	"time"
 
 	"github.com/wingvale/wingvale/internal/fleet"
 	"github.com/wingvale/wingvale/internal/peer/peerpb"
@@ -106,11 +108,11 @@
 	return members, nil
 }
 
-func leavingOf(messages []*peerpb.LeavingServer) ([]fleet.LeavingServer, error) {
+func leavingOf(messages []*peerpb.LeavingServer) ([]fleet.Leaving, error) {
 	if len(messages) > maxLeaving {
 		return nil, fmt.Errorf("peer: %d leaving servers, at most %d are allowed", len(messages), maxLeaving)
 	}
-	servers := make([]fleet.LeavingServer, 0, len(messages))
+	servers := make([]fleet.Leaving, 0, len(messages))
 	for _, m := range messages {
 		address, err := addressOf(m.GetAddress())
 		if err != nil {
@@ -120,7 +122,7 @@
 		if err := s.Check(); err != nil {
 			return nil, err
 		}
-		servers = append(servers, s)
+		servers = append(servers, fleet.Leaving{LeavingServer: s, Age: time.Duration(m.GetAgeMs()) * time.Millisecond})
 	}
 	return servers, nil
 }
@@ -129,7 +131,8 @@
 	members := memberMessages(news.Members)
 	leaving := make([]*peerpb.LeavingServer, 0, len(news.Leaving))
 	for _, s := range news.Leaving {
-		leaving = append(leaving, &peerpb.LeavingServer{Address: addressBytes(s.Address), Instance: s.Instance})
+		age := uint32(min(s.Age.Milliseconds(), math.MaxUint32))
+		leaving = append(leaving, &peerpb.LeavingServer{Address: addressBytes(s.Address), Instance: s.Instance, AgeMs: age})
 	}
 	return members, leaving
 }
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -34,6 +34,9 @@
 	Listed func(netip.AddrPort) bool
 	// Accepted is told of entries that came into force by a peer.
 	Accepted func(space peerpb.Space, entries []published.Entry)
+	// Leaving is told of each backend server that a peer newly knows to leave; nil where
+	// the node has no use for it.
+	Leaving func(fleet.LeavingServer)
 	// Link is what the host's link carries in bytes a second, 0 for not told.
 	Link float64
 	// Confirm looks whether the publisher has anything newer than the node, and
@@ -290,7 +293,7 @@
 func (g *Gossip) news() fleet.News {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.options.View.News(g.random)
+	return g.options.View.News(time.Now(), g.random)
 }
 
 // exchange sends one heartbeat to the node at the peer address.
@@ -337,11 +340,25 @@
 		g.stir()
 	}
 	for _, s := range leaving {
-		g.options.View.MarkLeaving(now, s)
+		if !g.options.View.HeardLeaving(now, s) {
+			continue
+		}
+		g.stir()
+		if g.options.Leaving != nil {
+			g.options.Leaving(s.LeavingServer)
+		}
 	}
 	return nil
 }
 
+// TellLeaving makes the node tell others that a run of a backend server leaves, from the
+// next heartbeat on, which follows at once.
+func (g *Gossip) TellLeaving(s fleet.LeavingServer) {
+	if g.options.View.MarkLeaving(time.Now(), s) {
+		g.stir()
+	}
+}
+
 // enqueue hands work to the workers, or drops it where too much waits: the
 // next heartbeat finds the same difference again.
 func (g *Gossip) enqueue(do func(ctx context.Context)) {
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -62,6 +62,9 @@
 	if err := j.awaitSettled(ctx); err != nil {
 		return err
 	}
+	if err := j.mayBegin(); err != nil {
+		return err
+	}
 	s := &stream{job: j, sink: sink, prompt: j.prompt()}
 	defer func() { j.events = s.split.events }()
 	for remakes := 0; ; {
@@ -111,6 +114,23 @@
 	}
 }
 
+// mayBegin refuses a request at once of which a stage or the last part has no server: what
+// is made of it until then would be made in vain.
+func (j *job) mayBegin() error {
+	services := []string{j.service.Name}
+	for i, stage := range j.route.Stages {
+		if j.pieces(i) > 0 {
+			services = append(services, stage.Service)
+		}
+	}
+	for _, service := range services {
+		if !j.core.servers.takesAny(service, j.homes) {
+			return j.refuse(verdict.ReasonNoServer, j.returnAfter(), "no server of %s", service)
+		}
+	}
+	return nil
+}
+
 // awaitSettled waits until the host knows the owners of the pools. Hosts that all
 // started together and took each other for absent sent what they got to servers of
 // their own choice, which others filled as well.
--- a/internal/relay/servers.go
+++ b/internal/relay/servers.go
@@ -150,6 +150,13 @@
 	return s.begin(k)
 }
 
+// takesAny reports whether any server of a service in the homes takes work.
+func (s *servers) takesAny(service string, homes Homes) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.byService[service], func(k *server) bool { return !k.Closed() && homes.Allow(k.Region) })
+}
+
 // homeZone returns the zone of the engine that is the home of a prompt.
 func (s *servers) homeZone(service string, p placing.Prompt, homes Homes) string {
 	s.mu.Lock()
