relay, stagepool: leave servers alone that ask for rest

Cause: of a 503 only that it has not run was read. A server that turns requests away has nothing to do, so owners went on naming it, and each host went on sending there. Ruled out: that sends were already on their way (the third came 2.2 s later). Change: a server that asked a host for rest gets nothing from that host until it is over: no first, second or repeated sends, stage calls, or results given up; engines are placed with those that rest for the asking host excepted, since the owner doesn't know. While all servers of a service rest, what can be in time afterwards is kept and all else is told at once, with when the first is rested; so is what waits in a pool.

--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -138,6 +138,7 @@
 		Self:   s.Callers,
 		Owners: owners,
 		Driver: o.StageDriver(n.backends, n.notices),
+		Rest:   n.notices.Rest,
 		HTTP:   n.peers,
 		Log:    n.log,
 		Scope:  o.Scope.SubScope("stages"),
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -108,7 +108,7 @@
 		scope:   o.Scope,
 		first:   make(chan struct{}),
 		begun:   time.Now(),
-		servers: newServers(o.Zone, rand.New(rand.NewPCG(o.Random.Uint64(), o.Random.Uint64()))),
+		servers: newServers(o.Zone, o.Notices, rand.New(rand.NewPCG(o.Random.Uint64(), o.Random.Uint64()))),
 		retries: newRetries(o.RetryShare, o.RetryReserve, o.RetryWindow, o.Hosts),
 		random:  o.Random,
 		held:    make(map[string]time.Duration),
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -85,6 +86,9 @@
 		if err := j.awaitTry(ctx); err != nil {
 			return s.fail(err)
 		}
+		if err := j.awaitRest(ctx, expectedRead(j.Request)); err != nil {
+			return s.fail(err)
+		}
 		engine, ok := s.place(ctx, g)
 		if !ok {
 			return s.fail(j.refuse(verdict.ReasonNoServer, fullAfter, "no server of %s", j.service.Name))
@@ -123,6 +127,9 @@
 			services = append(services, stage.Service)
 		}
 	}
+	if err := j.mayWait(j.core.servers.restLeft(j.service.Name, j.homes, nil), expectedRead(j.Request)); err != nil {
+		return err
+	}
 	for _, service := range services {
 		if !j.core.servers.takesAny(service, j.homes) {
 			return j.refuse(verdict.ReasonNoServer, j.returnAfter(), "no server of %s", service)
@@ -162,12 +169,13 @@
 	j := s.job
 	s.prompt.Zone, s.prompt.InputBytes = g.inputsAt()
 	s.prompt.Left = time.Until(j.objective)
-	s.prompt.Except = j.tried
 	s.prompt.Homes = j.homes
 	for range placesMost {
+		s.prompt.Except = s.except()
 		place := j.core.options.Engines.Place(ctx, j.service.Name, s.prompt)
 		for place.Instance == "" && place.Wait > 0 && s.awaitPlace(ctx, place.Wait) {
 			s.prompt.Left = time.Until(j.objective)
+			s.prompt.Except = s.except()
 			place = j.core.options.Engines.Place(ctx, j.service.Name, s.prompt)
 		}
 		if place.Instance == "" {
@@ -178,11 +186,18 @@
 			j.placed = place
 			return engine, true
 		}
-		s.prompt.Except = append(s.prompt.Except, place.Instance)
+		s.passed = append(s.passed, place.Instance)
 	}
 	return Server{}, false
 }
 
+// except are the engines that the prompt is not to be placed on: those that it was sent to,
+// that were named and took no work, and that rest. The owner knows nothing of the last, as a
+// rest is between an engine and a host.
+func (s *stream) except() []string {
+	return slices.Concat(s.job.tried, s.passed, s.job.core.servers.resting(s.job.service.Name))
+}
+
 // placeAgain is the longest pause until an engine is asked for again.
 const placeAgain = 200 * time.Millisecond
 
@@ -246,6 +261,8 @@
 	expected time.Duration
 	// source is where that engine copies shared parts of the prompt from.
 	source netip.AddrPort
+	// passed has the engines that were named for the prompt and took no work.
+	passed []string
 	// overdue says that the engine was told of as silent for this prompt.
 	overdue atomic.Bool
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -50,6 +50,9 @@
 		if err := j.awaitTry(ctx); err != nil {
 			return err
 		}
+		if err := j.awaitRest(ctx, j.expected()); err != nil {
+			return err
+		}
 		r, err := j.plainOnce(ctx)
 		j.endTry()
 		if err != nil {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -26,6 +26,8 @@
 	// ReasonLate that one told later that it would not be reached.
 	ReasonCrowded verdict.Reason = "crowded"
 	ReasonLate    verdict.Reason = "late"
+	// ReasonResting says that all servers had asked the host for rest.
+	ReasonResting verdict.Reason = "resting"
 )
 
 // ErrCut says that an answer had begun and cannot be ended: the caller must see
--- a/internal/relay/servers.go
+++ b/internal/relay/servers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/wingvale/wingvale/internal/health"
+	"github.com/wingvale/wingvale/internal/notice"
 	"github.com/wingvale/wingvale/internal/placing"
 )
 
@@ -28,6 +29,8 @@
 // servers is the set of backend servers. It is safe for concurrent use.
 type servers struct {
 	zone string
+	// notices tells for how long a server wants nothing from this host.
+	notices *notice.Book
 
 	mu        sync.Mutex
 	byService map[string][]*server
@@ -35,8 +38,8 @@
 	random    *rand.Rand
 }
 
-func newServers(zone string, random *rand.Rand) *servers {
-	return &servers{zone: zone, random: random, byService: make(map[string][]*server), byID: make(map[string]*server)}
+func newServers(zone string, notices *notice.Book, random *rand.Rand) *servers {
+	return &servers{zone: zone, notices: notices, random: random, byService: make(map[string][]*server), byID: make(map[string]*server)}
 }
 
 // set replaces the servers and keeps what is known of those that stay. It returns
@@ -81,7 +84,7 @@
 func (s *servers) usable(service string, now time.Time, homes Homes, except []string) []*server {
 	var all, well, cold []*server
 	for _, k := range s.byService[service] {
-		if k.Closed() || !homes.Allow(k.Region) || slices.Contains(except, k.Instance) {
+		if !s.takes(k, homes) || slices.Contains(except, k.Instance) {
 			continue
 		}
 		if now.Before(k.ColdUntil) {
@@ -144,13 +147,54 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.byID[instance]
-	if k == nil || k.Closed() {
+	if k == nil || !s.takes(k, nil) {
 		return Server{}, false
 	}
 	return s.begin(k)
 }
 
-// takesAny reports whether any server of a service in the homes takes work.
+// takes reports whether a server may get work from this host now, in the homes. The mutex
+// must be held.
+func (s *servers) takes(k *server, homes Homes) bool {
+	return !k.Closed() && homes.Allow(k.Region) && s.notices.Rest(k.Instance) == 0
+}
+
+// restLeft is how long it takes until the first server of a service may get work, in the
+// homes and without those excepted; 0 where one may now, or none will.
+func (s *servers) restLeft(service string, homes Homes, except []string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var soonest time.Duration
+	for _, k := range s.byService[service] {
+		if k.Closed() || !homes.Allow(k.Region) || slices.Contains(except, k.Instance) {
+			continue
+		}
+		rest := s.notices.Rest(k.Instance)
+		if rest == 0 {
+			return 0
+		}
+		if soonest == 0 || rest < soonest {
+			soonest = rest
+		}
+	}
+	return soonest
+}
+
+// resting returns the servers of a service that want nothing from this host now.
+func (s *servers) resting(service string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for _, k := range s.byService[service] {
+		if s.notices.Rest(k.Instance) > 0 {
+			names = append(names, k.Instance)
+		}
+	}
+	return names
+}
+
+// takesAny reports whether any server of a service in the homes takes work, now or after
+// its rest.
 func (s *servers) takesAny(service string, homes Homes) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -163,7 +207,7 @@
 	defer s.mu.Unlock()
 	var names []string
 	for _, k := range s.byService[service] {
-		if !k.Closed() && homes.Allow(k.Region) {
+		if s.takes(k, homes) {
 			names = append(names, k.Instance)
 		}
 	}
--- a/internal/relay/shed.go
+++ b/internal/relay/shed.go
@@ -57,7 +57,8 @@
 	if j.core.chance() >= share {
 		return nil
 	}
-	after := j.returnAfter()
+	// Servers of a stage may all rest for long; the callers would come back in vain.
+	after := max(j.returnAfter(), waits-slack)
 	j.core.scope.Counter("shed").Inc(1)
 	j.log.WithFields(logrus.Fields{
 		"waits_ms": waits.Milliseconds(), "slack_ms": slack.Milliseconds(), "left_ms": left.Milliseconds(),
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -310,6 +310,8 @@
 		reason, after = ReasonLate, j.returnAfter()
 	case stagepool.FailureClosed:
 		reason, after = verdict.ReasonNoServer, j.returnAfter()
+	case stagepool.FailureResting:
+		reason, after = ReasonResting, end.answer.Wait+time.Duration(j.core.chance()*float64(comeBackSpread))
 	}
 	return j.refuse(reason, after, "stage %d at %s: %s", end.stage, service, end.answer.Failure)
 }
--- a/internal/stagepool/closed.go
+++ b/internal/stagepool/closed.go
@@ -3,7 +3,10 @@
 
 package stagepool
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // refuseClosed ends what waits that none of the servers there are takes, as when their
 // zones are evacuated, so that callers hear of it at once.
@@ -29,3 +32,31 @@
 	}
 	return false
 }
+
+// refuseResting ends what waits that would be of no use any more once the first of the
+// servers that take it is rested.
+func (s *scheduler) refuseResting(now time.Time) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(t *task) bool {
+		rested, ok := s.restedIn(t.allows)
+		if !ok || rested == 0 || !now.Add(rested+s.spec.CallTime).After(t.Deadline) {
+			return false
+		}
+		t.finish(FailureResting)
+		return true
+	})
+}
+
+// restedIn is how long it takes until the first of the servers that don't leave, of those
+// allowed, is rested; 0 where one doesn't rest. It reports false where there are none.
+func (s *scheduler) restedIn(allows func(Server) bool) (time.Duration, bool) {
+	soonest := time.Duration(-1)
+	for _, state := range s.servers {
+		if state.Leaving || !allows(state.Server) {
+			continue
+		}
+		if rest := s.rest(state.Instance); soonest < 0 || rest < soonest {
+			soonest = rest
+		}
+	}
+	return max(soonest, 0), soonest >= 0
+}
--- a/internal/stagepool/export_test.go
+++ b/internal/stagepool/export_test.go
@@ -19,7 +19,12 @@
 
 // NewScheduler returns a scheduler with servers.
 func NewScheduler(spec Spec, servers ...Server) *Scheduler {
-	s := newScheduler(spec)
+	return NewRestingScheduler(spec, func(string) time.Duration { return 0 }, servers...)
+}
+
+// NewRestingScheduler is NewScheduler for servers that may rest.
+func NewRestingScheduler(spec Spec, rest func(instance string) time.Duration, servers ...Server) *Scheduler {
+	s := newScheduler(spec, rest)
 	s.setServers(servers)
 	return &Scheduler{s: s}
 }
--- a/internal/stagepool/group.go
+++ b/internal/stagepool/group.go
@@ -27,9 +27,12 @@
 	Self   netip.AddrPort
 	Owners *owner.Finder
 	Driver Driver
-	HTTP   *http.Client
-	Log    logrus.FieldLogger
-	Scope  tally.Scope
+	// Rest returns for how long a server wants nothing from this host; nil is that none
+	// tells.
+	Rest  func(instance string) time.Duration
+	HTTP  *http.Client
+	Log   logrus.FieldLogger
+	Scope tally.Scope
 }
 
 const (
@@ -69,6 +72,9 @@
 
 // New returns a group whose calls end with ctx.
 func New(ctx context.Context, options Options) *Group {
+	if options.Rest == nil {
+		options.Rest = func(string) time.Duration { return 0 }
+	}
 	return &Group{
 		options:  options,
 		ctx:      ctx,
@@ -172,7 +178,7 @@
 	if !ok {
 		return nil
 	}
-	p := newPool(g.ctx, spec, g.options.Driver, g.options.Log, g.options.Scope)
+	p := newPool(g.ctx, spec, g.options)
 	p.configure(spec, inZone(g.servers[service], zone))
 	g.pools[shard] = p
 	return p
--- a/internal/stagepool/order.go
+++ b/internal/stagepool/order.go
@@ -25,8 +25,9 @@
 	var waits Queue
 	usable := s.usable(now)
 	if len(usable) == 0 {
+		rested, _ := s.restedIn(func(Server) bool { return true })
 		for i := range waits {
-			waits[i] = s.spec.CallTime
+			waits[i] = max(s.spec.CallTime, rested)
 		}
 		return waits
 	}
--- a/internal/stagepool/pool.go
+++ b/internal/stagepool/pool.go
@@ -60,13 +60,13 @@
 }
 
 // newPool returns a pool whose calls end with ctx.
-func newPool(ctx context.Context, spec Spec, driver Driver, log logrus.FieldLogger, scope tally.Scope) *Pool {
+func newPool(ctx context.Context, spec Spec, options Options) *Pool {
 	return &Pool{
-		driver:    driver,
-		log:       log.WithField("pool", spec.Service),
-		scope:     scope,
+		driver:    options.Driver,
+		log:       options.Log.WithField("pool", spec.Service),
+		scope:     options.Scope,
 		ctx:       ctx,
-		scheduler: newScheduler(spec),
+		scheduler: newScheduler(spec, options.Rest),
 		freeing:   make(map[netip.AddrPort][]string),
 	}
 }
@@ -239,6 +239,12 @@
 		p.mu.Unlock()
 		return
 	}
+	if rest := p.scheduler.rest(state.Instance); rest > 0 {
+		p.freeing[address] = handles
+		p.mu.Unlock()
+		time.AfterFunc(rest, func() { p.flush(address) })
+		return
+	}
 	server := state.Server
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(p.ctx, freeFor)
--- /dev/null
+++ b/internal/stagepool/rest_test.go
@@ -0,0 +1,65 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package stagepool_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/stagepool"
+)
+
+// rests is for how long each server wants nothing.
+type rests map[string]time.Duration
+
+func (r rests) of(instance string) time.Duration { return r[instance] }
+
+// A server that had turned a call away and asked for rest was left alone for the time of one
+// call, and got the next as soon as that was over.
+func TestWorkGoesToServersThatDoNotRest(t *testing.T) {
+	one, two := server(1, "a"), server(2, "a")
+	r := rests{one.Instance: time.Second}
+	s := stagepool.NewRestingScheduler(spec, r.of, one, two)
+	s.Add(start, work("x", 1))
+	assert.Equal(t, next(t, s, start).Server().Instance, two.Instance)
+	s.Add(start, work("y", 1))
+	_, ok := s.Next(start)
+	assert.Assert(t, !ok, "the other works, this one rests")
+	delete(r, one.Instance)
+	assert.Equal(t, next(t, s, start).Server().Instance, one.Instance, "as soon as its rest is over")
+}
+
+// All servers rest: what can be done after that waits, the rest is told at once.
+func TestWorkThatRestsOutlastIsToldAtOnce(t *testing.T) {
+	one, two := server(1, "a"), server(2, "a")
+	r := rests{one.Instance: 3 * time.Second, two.Instance: 2 * time.Second}
+	s := stagepool.NewRestingScheduler(spec, r.of, one, two)
+	short, long := work("short", 1), work("long", 1)
+	short.Deadline = start.Add(2 * time.Second)
+	long.Deadline = start.Add(8 * time.Second)
+	shortTask, longTask := s.Add(start, short), s.Add(start, long)
+	_, ok := s.Next(start)
+	assert.Assert(t, !ok)
+	failure, ended := shortTask.Done()
+	assert.Assert(t, ended && failure == stagepool.FailureResting, "%q", failure)
+	_, ended = longTask.Done()
+	assert.Assert(t, !ended)
+	assert.Equal(t, s.Queue(start).Longest(), 2*time.Second)
+	delete(r, two.Instance)
+	assert.DeepEqual(t, next(t, s, start).Requests(), []string{"long"})
+}
+
+// What only servers may do that leave is not told that they rest.
+func TestRestsOfServersThatLeaveDoNotCount(t *testing.T) {
+	one, two := server(1, "a"), server(2, "a")
+	one.Leaving = true
+	r := rests{two.Instance: 20 * time.Second}
+	s := stagepool.NewRestingScheduler(spec, r.of, one, two)
+	task := s.Add(start, work("x", 1))
+	s.Next(start)
+	failure, ended := task.Done()
+	assert.Assert(t, ended && failure == stagepool.FailureResting, "%q", failure)
+}
--- a/internal/stagepool/scheduler.go
+++ b/internal/stagepool/scheduler.go
@@ -61,7 +61,9 @@
 // scheduler decides what the next call of a pool has and where it goes. It is
 // not safe for concurrent use.
 type scheduler struct {
-	spec    Spec
+	spec Spec
+	// rest returns for how long a server wants nothing from this host.
+	rest    func(instance string) time.Duration
 	servers map[netip.AddrPort]*serverState
 	// waiting has the tasks with pending pieces.
 	waiting []*task
@@ -77,8 +79,8 @@
 	flows [len(dueSteps)]flow
 }
 
-func newScheduler(spec Spec) *scheduler {
-	return &scheduler{spec: spec, servers: make(map[netip.AddrPort]*serverState)}
+func newScheduler(spec Spec, rest func(instance string) time.Duration) *scheduler {
+	return &scheduler{spec: spec, rest: rest, servers: make(map[netip.AddrPort]*serverState)}
 }
 
 // setServers replaces the servers, and keeps what is known of those that stay.
@@ -143,7 +145,7 @@
 	var states []*serverState
 	for _, state := range s.servers {
 		state.fade(now)
-		if !state.Leaving && !now.Before(state.until) {
+		if !state.Leaving && !now.Before(state.until) && s.rest(state.Instance) == 0 {
 			states = append(states, state)
 		}
 	}
@@ -184,6 +186,7 @@
 		}
 	}
 	s.refuseClosed()
+	s.refuseResting(now)
 	if len(usable) == 0 {
 		return nil
 	}
--- a/internal/stagepool/work.go
+++ b/internal/stagepool/work.go
@@ -110,6 +110,8 @@
 	FailureFull   Failure = "full"
 	// FailureClosed says that none of the servers takes work.
 	FailureClosed Failure = "closed"
+	// FailureResting says that all servers had asked the owner for rest, until too late.
+	FailureResting Failure = "resting"
 )
 
 // Item is one piece of a call.
