relay: the watchdog of streams and the choice of engines in files of their own

Cause: generate.go had grown to 520 lines with three jobs. Change: moved with their constants, nothing else; one comment of a test reworded.

--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -9,12 +9,9 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/wingvale/wingvale/internal/exchange"
 	"github.com/wingvale/wingvale/internal/placing"
 	"github.com/wingvale/wingvale/verdict"
@@ -24,22 +21,6 @@
 	// remakesMost is how often the stages of one request are run anew because
 	// their results were gone.
 	remakesMost = 2
-	// silentGaps times the longest pause that is in time is how long a stream
-	// that another server may go on with is waited for.
-	silentGaps = 5
-	// firstFactor times the expected time to the first event, and firstLeast,
-	// are how long the first event is waited for where another may serve.
-	firstFactor = 5
-	firstLeast  = 900 * time.Millisecond
-	// overdueFactor times the expected time to the first event, and overdueLeast,
-	// are when an engine that has answered nothing is told of as silent.
-	overdueFactor = 3
-	overdueLeast  = 500 * time.Millisecond
-	// placesMost bounds how often an engine is asked for that turns out to be
-	// leaving.
-	placesMost = 3
-	// silentLeast is the least silence that means something.
-	silentLeast = 500 * time.Millisecond
 	copyBuffer  = 4 << 10
 	// homeTokens is how many shared tokens tie a prompt to its home engine: to
 	// read 2,000 again takes 33 ms, about what one large result from another
@@ -163,62 +144,6 @@
 	return s.job.core.servers.homeZone(s.job.service.Name, s.prompt, s.job.homes)
 }
 
-// place has an engine chosen for the prompt. One that is leaving or gone here
-// is passed over: the owner may not know yet.
-func (s *stream) place(ctx context.Context, g *graph) (Server, bool) {
-	j := s.job
-	s.prompt.Zone, s.prompt.InputBytes = g.inputsAt()
-	s.prompt.Left = time.Until(j.objective)
-	s.prompt.Homes = j.homes
-	for range placesMost {
-		s.prompt.Except = s.except()
-		place := j.core.options.Engines.Place(ctx, j.service.Name, s.prompt)
-		for place.Instance == "" && place.Wait > 0 && s.awaitPlace(ctx, place.Wait) {
-			s.prompt.Left = time.Until(j.objective)
-			s.prompt.Except = s.except()
-			place = j.core.options.Engines.Place(ctx, j.service.Name, s.prompt)
-		}
-		if place.Instance == "" {
-			return Server{}, false
-		}
-		if engine, ok := j.core.servers.take(place.Instance); ok {
-			s.expected, s.source = place.Expected, place.Source
-			j.placed = place
-			return engine, true
-		}
-		s.passed = append(s.passed, place.Instance)
-	}
-	return Server{}, false
-}
-
-// except are the engines that the prompt is not to be placed on: those that it was sent to,
-// that were named and took no work, and that rest. The owner knows nothing of the last, as a
-// rest is between an engine and a host.
-func (s *stream) except() []string {
-	return slices.Concat(s.job.tried, s.passed, s.job.core.servers.resting(s.job.service.Name))
-}
-
-// placeAgain is the longest pause until an engine is asked for again.
-const placeAgain = 200 * time.Millisecond
-
-// awaitPlace waits until an engine may get the prompt that none may get yet, and
-// reports whether that is of use.
-func (s *stream) awaitPlace(ctx context.Context, wait time.Duration) bool {
-	j := s.job
-	j.core.scope.Counter("places_awaited").Inc(1)
-	if time.Until(j.useful()) < wait+expectedRead(j.Request) {
-		return false
-	}
-	pause := time.NewTimer(min(wait, placeAgain))
-	defer pause.Stop()
-	select {
-	case <-pause.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // errGone says that an engine found an input gone; the request did not run.
 var errGone = verdict.New(verdict.NotRun, verdict.ReasonRefused, "relay: an input is gone")
 
@@ -435,65 +360,3 @@
 	}
 	return nil
 }
-
-// tellOverdue tells the engine's owner when the first event is overdue, unless the
-// timer that it returns is stopped. On a connection that had rested the silence may
-// be the connection's: with these told of too, prompts were sent on to engines over
-// further silent connections, and 5 of 188 failed, not 0 or 1.
-func (s *stream) tellOverdue(engine Server) *time.Timer {
-	s.overdue.Store(false)
-	j := s.job
-	if !j.connectsAnew() {
-		return nil
-	}
-	after := max(overdueLeast, overdueFactor*s.expected)
-	return time.AfterFunc(after, func() {
-		s.overdue.Store(true)
-		j.core.scope.Counter("engines_silent").Inc(1)
-		j.log.WithFields(logrus.Fields{"server": engine.Instance, "after_ms": after.Milliseconds(), "expected_ms": s.expected.Milliseconds()}).
-			Info("the first event is overdue")
-		j.core.options.Engines.Silent(j.service.Name, engine.Instance)
-	})
-}
-
-// watchdog cancels a send whose server has fallen silent.
-type watchdog struct {
-	timer *time.Timer
-	pause time.Duration
-	// overdue tells of a server that has answered nothing yet.
-	overdue *time.Timer
-}
-
-// watch returns a watchdog for a stream that another engine may go on with; for
-// others it never strikes.
-func (s *stream) watch(cancel context.CancelCauseFunc) *watchdog {
-	j := s.job
-	if !j.route.Resumable || j.ran()+1 >= j.route.MaxAttempts {
-		return &watchdog{}
-	}
-	first := max(firstLeast, firstFactor*s.expected)
-	return &watchdog{
-		timer: time.AfterFunc(first, func() { cancel(errSilent) }),
-		pause: max(silentGaps*j.route.MaxGap, silentLeast),
-	}
-}
-
-func (w *watchdog) heard() {
-	w.stopOverdue()
-	if w.timer != nil {
-		w.timer.Reset(w.pause)
-	}
-}
-
-func (w *watchdog) stop() {
-	w.stopOverdue()
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
-
-func (w *watchdog) stopOverdue() {
-	if w.overdue != nil {
-		w.overdue.Stop()
-	}
-}
--- a/internal/stagepool/rest_test.go
+++ b/internal/stagepool/rest_test.go
@@ -52,7 +52,7 @@
 	assert.DeepEqual(t, next(t, s, start).Requests(), []string{"long"})
 }
 
-// What only servers may do that leave is not told that they rest.
+// One server leaves and the other rests for long: the one that leaves is no reason to wait.
 func TestRestsOfServersThatLeaveDoNotCount(t *testing.T) {
 	one, two := server(1, "a"), server(2, "a")
 	one.Leaving = true
