fleet: look up a leaving run without going through all

Cause: with a mark for each run a question by address went through all marks, once for each published server at each refresh of the product's own pools: 5,000 servers times as many marks. Change: runs are looked up by name, and marks of an address are counted.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -52,6 +52,8 @@
 	// leaving has each run that leaves, also those that had the same address one after
 	// another.
 	leaving map[LeavingServer]*mark
+	// leavingAt counts those of each address; none is 0.
+	leavingAt map[netip.AddrPort]int
 	// undisturbed is when a member last came, went or changed its state.
 	undisturbed time.Time
 	// summed has the sums of the view; nil where it changed since they were made.
@@ -82,6 +84,7 @@
 		self:        self,
 		members:     make(map[netip.AddrPort]*known),
 		leaving:     make(map[LeavingServer]*mark),
+		leavingAt:   make(map[netip.AddrPort]int),
 		undisturbed: now,
 	}
 }
@@ -238,7 +241,7 @@
 	}
 	for s, m := range v.leaving {
 		if now.Sub(m.since) >= v.options.LeavingFor {
-			delete(v.leaving, s)
+			v.unmark(s)
 		}
 	}
 }
@@ -257,20 +260,27 @@
 		return false
 	}
 	v.leaving[s.LeavingServer] = &mark{LeavingServer: s.LeavingServer, since: now.Add(-s.Age)}
+	v.leavingAt[s.Address]++
 	return true
 }
 
+// unmark forgets that a run of a backend server is leaving. The mutex must be held.
+func (v *View) unmark(s LeavingServer) {
+	delete(v.leaving, s)
+	if v.leavingAt[s.Address]--; v.leavingAt[s.Address] == 0 {
+		delete(v.leavingAt, s.Address)
+	}
+}
+
 // IsLeaving reports whether that run of the backend server is known to leave.
 // An empty instance matches any.
 func (v *View) IsLeaving(address netip.AddrPort, instance string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for s := range v.leaving {
-		if s.Address == address && (instance == "" || s.Instance == "" || s.Instance == instance) {
-			return true
-		}
+	if instance == "" {
+		return v.leavingAt[address] > 0
 	}
-	return false
+	return v.leaving[LeavingServer{Address: address, Instance: instance}] != nil || v.leaving[LeavingServer{Address: address}] != nil
 }
 
 // Members returns a copy of all members but the node itself, in order.
