explain, command: tell the way of a request over the logs of hosts

Cause: on call one greps an id over all logs, and has to find by hand what the host believed then, from where it had it and how old that was; in this incident that took most of the time.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -37,6 +37,7 @@
 	Load    loadCommand    `cmd:"" help:"Offer requests at a rate; print attainment, latency and cost by stage."`
 	Standin standinCommand `cmd:"" help:"Serve stand-ins of a site's platform and backend servers on loopback."`
 	Soak    soakCommand    `cmd:"" help:"Run real daemons on loopback, make trouble from outside, and check the promises."`
+	Explain explainCommand `cmd:"" help:"Tell the way of a request over the logs of hosts: who decided what, on which belief, and why it ended so."`
 	Demo    demoCommand    `cmd:"" help:"Run both example sites in this process, with a stop and a failure under load."`
 	Version versionCommand `cmd:"" help:"Print the release."`
 
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -25,6 +25,7 @@
 func TestExitCodesAndMessages(t *testing.T) {
 	bad := write(t, "node.ini", "[node]\ncaller = here\n")
 	good := write(t, "node.ini", "[node]\ncaller = 10.0.0.1:1\npeer = 10.0.0.1:2\nzone = a\n[platform]\naddresses = 10.0.0.2:1\n")
+	logs := write(t, "host.log", `{"msg":"request ended","node":"10.0.0.1:1","outcome":"late","request":"r-1","time":"10:00:00.000"}`)
 	cases := []struct {
 		name string
 		args []string
@@ -41,6 +42,13 @@
 		{"no such file", []string{"check", bad + "x"}, command.ExitUsage, "no such file"},
 		{"a host name", []string{"request", "--to", "host:1", "--workspace", "w", "--pipeline", "p", "x"}, command.ExitUsage, "IP number"},
 		{"a bad workspace name", []string{"request", "--to", "10.0.0.1:1", "--workspace", "W!", "--pipeline", "p", "x"}, command.ExitUsage, "lower-case"},
+		{"a request over logs", []string{"explain", "--outcome", "late", logs}, command.ExitDone, "it would not be reached in time"},
+		{"a request in no log", []string{"explain", "r-9", logs}, command.ExitFailed, "no line names the request"},
+		{"no request of an outcome", []string{"explain", "--outcome", "cut", logs}, command.ExitFailed, "no request in these logs"},
+		{"a time of day that is none", []string{"explain", "--since", "noon", logs}, command.ExitUsage, "want HH:MM:SS"},
+		{"no request at all", []string{"explain", "--slowest", "0", logs}, command.ExitUsage, "1 and more"},
+		{"no log at all", []string{"explain", "r-1"}, command.ExitUsage, "no log of a host"},
+		{"no such log", []string{"explain", logs, logs + "x"}, command.ExitFailed, "no such file"},
 		{"a rate of 0", []string{"load", "--to", "10.0.0.1:1", "--workspace", "w", "--pipeline", "p", "--rate", "0"}, command.ExitUsage, "above 0"},
 	}
 	for _, c := range cases {
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,115 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package explain_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/explain"
+)
+
+// first took the requests, second owned a pool. A prefix may stand before a line.
+const (
+	first = `
+{"msg":"configuration in force","node":"10.1.0.1:80","time":"10:00:00.000","version":4}
+{"msg":"a backend server leaves","node":"10.1.0.1:80","server":"i-1","source":"peer","time":"10:00:05.000"}
+{"msg":"a backend server asks for rest","node":"10.1.0.1:80","server":"i-other","asked_ms":3000,"time":"10:00:05.500"}
+  7.02 host-1 {"msg":"stage failed","node":"10.1.0.1:80","owner":"10.2.0.1:80","failure":"late","request":"r-1","time":"10:00:06.900"}
+{"msg":"request ended","node":"10.1.0.1:80","request":"r-1","outcome":"late","server":"i-1","stages_ms":65,"took_ms":70,"held_ms":8000,"objective_ms":1000,"route":"a","workspace":"w","time":"10:00:07.000"}
+{"msg":"request ended","node":"10.1.0.1:80","request":"r-2","outcome":"answered","first_ms":300,"took_ms":900,"route":"a","workspace":"w","time":"10:00:08.000"}
+{"msg":"configuration in force","node":"10.1.0.1:80","time":"10:00:09.000","version":5}
+not a line
+`
+	second = `
+{"msg":"work waits long for stage servers","node":"10.2.0.1:80","oldest_ms":900,"time":"10:00:06.800"}
+`
+)
+
+func logsOf(t *testing.T, texts ...string) *explain.Logs {
+	t.Helper()
+	logs := &explain.Logs{}
+	for _, text := range texts {
+		lines, unread, err := explain.Read(strings.NewReader(text))
+		assert.NilError(t, err)
+		logs.Add(lines, unread)
+	}
+	return logs
+}
+
+func story(t *testing.T, logs *explain.Logs, id string) string {
+	t.Helper()
+	s, err := logs.Of(id)
+	assert.NilError(t, err)
+	var b strings.Builder
+	assert.NilError(t, s.Write(&b))
+	return b.String()
+}
+
+func TestTheWayOfARequest(t *testing.T) {
+	logs := logsOf(t, first, second)
+	assert.Equal(t, logs.Unread, 1)
+	got := story(t, logs, "r-1")
+	for _, want := range []string{
+		"late: a stage's owner told that it would not be reached in time",
+		"10:00:06.900  10.1.0.1:80  stage failed failure=late owner=10.2.0.1:80",
+		"7s  configuration in force version=4",
+		"2s  a backend server leaves server=i-1 source=peer",
+		"time: 70ms in all of 8s, in time within 1s; stages 65ms",
+	} {
+		assert.Check(t, strings.Contains(got, want), "%q is not in\n%s", want, got)
+	}
+	for _, other := range []string{"version=5", "i-other", "is missing"} {
+		assert.Check(t, !strings.Contains(got, other), "%q is in\n%s", other, got)
+	}
+}
+
+func TestWhoseLogIsMissing(t *testing.T) {
+	got := story(t, logsOf(t, first), "r-1")
+	assert.Check(t, strings.Contains(got, "the log of 10.2.0.1:80 is missing"), got)
+	_, err := logsOf(t, second).Of("r-1")
+	assert.Check(t, errors.Is(err, explain.ErrUnknown))
+}
+
+func TestARequestWithoutItsEnd(t *testing.T) {
+	logs := logsOf(t, `{"msg":"stage failed","node":"h","request":"r-9","time":"10:00:00.000"}`)
+	assert.Check(t, strings.Contains(story(t, logs, "r-9"), "no log has its end"))
+}
+
+func TestRequestsThatAreChosen(t *testing.T) {
+	logs := logsOf(t, first, second)
+	since := time.Date(0, 1, 1, 10, 0, 7, 500e6, time.UTC)
+	assert.DeepEqual(t, logs.Requests(explain.Filter{}), []string{"r-2", "r-1"})
+	assert.DeepEqual(t, logs.Requests(explain.Filter{Slowest: 1}), []string{"r-2"})
+	assert.DeepEqual(t, logs.Requests(explain.Filter{Outcome: "late"}), []string{"r-1"})
+	assert.DeepEqual(t, logs.Requests(explain.Filter{Since: since}), []string{"r-2"})
+}
+
+// FuzzRead reads anything without coming to a stop.
+func FuzzRead(f *testing.F) {
+	f.Add(first)
+	f.Add(`{"msg":7,"time":"10:00:00.000","node":null,"took_ms":"x"}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		lines, unread, err := explain.Read(strings.NewReader(text))
+		if err != nil {
+			return
+		}
+		logs := &explain.Logs{}
+		logs.Add(lines, unread)
+		for _, id := range logs.Requests(explain.Filter{}) {
+			s, err := logs.Of(id)
+			if err != nil && id != "" {
+				t.Fatal(err)
+			}
+			var b strings.Builder
+			if err := s.Write(&b); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
