notice: a rest that can't be held is counted; names

Cause: with 8,192 servers at rest a further one was logged as held and was not, and one whose time was over was not renewed. Change: it is counted as dropped; the three methods that note have names of their own. No decision changes below that number.

--- a/internal/notice/book.go
+++ b/internal/notice/book.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// RestMost bounds one rest: after it one request may find out whether the server
-	// still wants none, so that a slip of the pen can't leave a server idle for ever.
+	// RestMost bounds one rest: after it a request finds out whether the server still wants
+	// none, so that a wrong value doesn't leave it idle for ever.
 	RestMost = 5 * time.Minute
 	// spreadShare of a rest, spreadMost at most, is how much later than it ends hosts
 	// come back, each at a moment of its own: the server answered them at about the
@@ -78,7 +78,7 @@
 // Heard takes in what an answer of a server tells of it.
 func (b *Book) Heard(s Server, n Notice) {
 	if n.Rest > 0 {
-		b.rest(s, n.Rest)
+		b.noteRest(s, n.Rest)
 	}
 	if n.Leaving {
 		b.Left(s, SourceAnswer)
@@ -87,7 +87,7 @@
 
 // Left takes in that a run leaves. What was heard first stays.
 func (b *Book) Left(s Server, from Source) {
-	if !b.leave(s, from) {
+	if !b.noteLeaving(s, from) {
 		return
 	}
 	b.options.Scope.Tagged(map[string]string{"source": string(from)}).Counter("notices_leaving").Inc(1)
@@ -95,8 +95,8 @@
 	b.options.Leaves(s, from)
 }
 
-// leave notes that a run leaves and reports whether that is new.
-func (b *Book) leave(s Server, from Source) bool {
+// noteLeaving notes that a run leaves and reports whether that is new.
+func (b *Book) noteLeaving(s Server, from Source) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.leaving[s.Instance] != nil {
@@ -111,25 +111,35 @@
 	return true
 }
 
-// rest notes that a run wants nothing from this host. A shorter rest doesn't end a longer
-// one before its time.
-func (b *Book) rest(s Server, asked time.Duration) {
-	bounded := min(asked, RestMost)
+// noteRest notes that a run wants nothing from this host. A shorter rest doesn't end a
+// longer one before its time.
+func (b *Book) noteRest(s Server, asked time.Duration) {
 	now := b.options.Boot()
 	b.mu.Lock()
-	spread := min(time.Duration(spreadShare*float64(bounded)), spreadMost)
-	until := max(now+bounded+time.Duration(b.options.Random.Float64()*float64(spread)), b.resting[s.Instance].until)
-	known := b.resting[s.Instance].until > now
-	if known || len(b.resting) < serversMost {
+	old, held := b.resting[s.Instance]
+	known := old.until > now
+	until := max(now+b.spread(min(asked, RestMost)), old.until)
+	full := !held && len(b.resting) >= serversMost
+	if !full {
 		b.resting[s.Instance] = rest{asked: now, until: until}
 	}
 	b.mu.Unlock()
+	if full {
+		b.options.Scope.Counter("notices_dropped").Inc(1)
+		return
+	}
 	b.options.Scope.Counter("notices_rest").Inc(1)
 	b.options.Log.WithFields(logrus.Fields{
 		"server": s.Instance, "address": s.Address, "asked_ms": asked.Milliseconds(), "for_ms": (until - now).Milliseconds(), "rested": known,
 	}).Info("a backend server asks for rest")
 }
 
+// spread returns when this host comes back after a rest. The mutex must be held.
+func (b *Book) spread(asked time.Duration) time.Duration {
+	most := min(time.Duration(spreadShare*float64(asked)), spreadMost)
+	return asked + time.Duration(b.options.Random.Float64()*float64(most))
+}
+
 // Leaving reports whether a run is known to leave.
 func (b *Book) Leaving(instance string) bool {
 	b.mu.Lock()
