stageplan: take the scheduler of stage pools out of stagepool

Cause: the scheduler shared its package with the calls to servers, so its tests went through wrappers and nothing kept it from reading a clock. No decision changed. Not taken apart: relay/shed.go.

--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -8,17 +8,17 @@
 
 	"github.com/wingvale/wingvale/internal/placing"
 	"github.com/wingvale/wingvale/internal/relay"
-	"github.com/wingvale/wingvale/internal/stagepool"
+	"github.com/wingvale/wingvale/internal/stageplan"
 )
 
 // poolsOf returns the stage pools of a configuration and their servers.
-func poolsOf(catalog *relay.Catalog, servers []relay.Server) (map[string]stagepool.Spec, map[string][]stagepool.Server) {
-	specs := make(map[string]stagepool.Spec)
+func poolsOf(catalog *relay.Catalog, servers []relay.Server) (map[string]stageplan.Spec, map[string][]stageplan.Server) {
+	specs := make(map[string]stageplan.Spec)
 	for name, s := range catalog.Services() {
 		if s.Batch == nil {
 			continue
 		}
-		specs[name] = stagepool.Spec{
+		specs[name] = stageplan.Spec{
 			Service:   name,
 			Size:      s.Batch.Size,
 			Slots:     s.Batch.Slots,
@@ -28,10 +28,10 @@
 			Hold:      s.Batch.Hold,
 		}
 	}
-	byService := make(map[string][]stagepool.Server)
+	byService := make(map[string][]stageplan.Server)
 	for _, s := range servers {
 		if _, ok := specs[s.Service]; ok {
-			byService[s.Service] = append(byService[s.Service], stagepool.Server{
+			byService[s.Service] = append(byService[s.Service], stageplan.Server{
 				Instance: s.Instance, Address: s.Address, Zone: s.Zone, Region: s.Region, Leaving: s.Closed(), Unreachable: s.Evacuated,
 			})
 		}
--- a/internal/relay/shed.go
+++ b/internal/relay/shed.go
@@ -8,7 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/wingvale/wingvale/internal/stagepool"
+	"github.com/wingvale/wingvale/internal/stageplan"
 )
 
 const (
@@ -87,7 +87,7 @@
 	j := g.job
 	return g.longest(len(j.route.Stages), func(service string) time.Duration {
 		backlog, _ := j.core.options.Stages.Backlog(service)
-		return backlog.Waits.Before(slack + backlog.Call + stagepool.PriorityTime(j.priority()))
+		return backlog.Waits.Before(slack + backlog.Call + stageplan.PriorityTime(j.priority()))
 	})
 }
 
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/wingvale/wingvale/internal/stageplan"
 	"github.com/wingvale/wingvale/internal/stagepool"
 	"github.com/wingvale/wingvale/verdict"
 )
@@ -33,7 +34,7 @@
 	zone  string
 	depth []int
 	// results has those of each stage that has ended.
-	results [][]stagepool.Result
+	results [][]stageplan.Result
 	// used has the stages whose results were given up before the end.
 	used []bool
 }
@@ -48,7 +49,7 @@
 func newGraph(j *job, zone string) *graph {
 	g := &graph{job: j, zone: zone}
 	g.depth = make([]int, len(j.route.Stages))
-	g.results = make([][]stagepool.Result, len(j.route.Stages))
+	g.results = make([][]stageplan.Result, len(j.route.Stages))
 	g.used = make([]bool, len(j.route.Stages))
 	// Stages name earlier ones, so one pass from the end finds the depths.
 	for i := len(j.route.Stages) - 1; i >= 0; i-- {
@@ -206,11 +207,11 @@
 	return true
 }
 
-func (g *graph) work(i int) stagepool.Work {
+func (g *graph) work(i int) stageplan.Work {
 	j := g.job
 	stage := j.route.Stages[i]
 	after := g.estimate(g.depth[i]-1) + expectedRead(j.Request) + j.core.engineDelay(j.route)
-	w := stagepool.Work{
+	w := stageplan.Work{
 		Service:     stage.Service,
 		Request:     j.ID,
 		Stage:       i,
@@ -297,7 +298,7 @@
 		return interrupted
 	}
 	service := j.route.Stages[end.stage].Service
-	if end.answer.Failure == stagepool.FailureGone {
+	if end.answer.Failure == stageplan.FailureGone {
 		return errGone
 	}
 	j.log.WithFields(logrus.Fields{
@@ -306,11 +307,11 @@
 	}).Info("stage failed")
 	reason, after := verdict.ReasonOverload, end.answer.Wait+fullAfter
 	switch end.answer.Failure {
-	case stagepool.FailureLate:
+	case stageplan.FailureLate:
 		reason, after = ReasonLate, j.returnAfter()
-	case stagepool.FailureClosed:
+	case stageplan.FailureClosed:
 		reason, after = verdict.ReasonNoServer, j.returnAfter()
-	case stagepool.FailureResting:
+	case stageplan.FailureResting:
 		reason, after = ReasonResting, end.answer.Wait+time.Duration(j.core.chance()*float64(comeBackSpread))
 	}
 	return j.refuse(reason, after, "stage %d at %s: %s", end.stage, service, end.answer.Failure)
--- a/internal/stagepool/flow.go
+++ b/internal/stageplan/flow.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The Wingvale Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package stagepool
+package stageplan
 
 import (
 	"math"
@@ -35,7 +35,7 @@
 }
 
 // came notes a task that is new and can be in time.
-func (s *scheduler) came(now time.Time, t *task) {
+func (s *Scheduler) came(now time.Time, t *Task) {
 	if s.late(now, t) {
 		return
 	}
@@ -52,7 +52,7 @@
 // reach is how long a task waits that has so many pieces ahead: until they are
 // made, and those that will come and go before it. What is late waits for all
 // that comes in time.
-func (s *scheduler) reach(now time.Time, t *task, turn time.Duration, rate float64, ahead int) time.Duration {
+func (s *Scheduler) reach(now time.Time, t *Task, turn time.Duration, rate float64, ahead int) time.Duration {
 	if s.late(now, t) {
 		return s.reachLate(now, t, turn, rate, ahead)
 	}
@@ -68,7 +68,7 @@
 // ever where what comes takes all of the pool. For one that was late when it came,
 // of a caller that came back or with work done, a refusal costs more: the crowd is
 // taken to last as long again as it has.
-func (s *scheduler) reachLate(now time.Time, t *task, turn time.Duration, rate float64, ahead int) time.Duration {
+func (s *Scheduler) reachLate(now time.Time, t *Task, turn time.Duration, rate float64, ahead int) time.Duration {
 	if ahead == 0 {
 		return turn
 	}
@@ -85,7 +85,7 @@
 // flowWithin is how many pieces come within a time that are due sooner than due;
 // none where the pool has not been crowded for long: many that come together are
 // no flow yet.
-func (s *scheduler) flowWithin(now time.Time, within, due time.Duration) float64 {
+func (s *Scheduler) flowWithin(now time.Time, within, due time.Duration) float64 {
 	if !s.crowdedLong(now) {
 		return 0
 	}
--- a/internal/stagepool/order.go
+++ b/internal/stageplan/order.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The Wingvale Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package stagepool
+package stageplan
 
 import (
 	"math"
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// oldest is how long the first task has waited for the start of its pieces.
-func (s *scheduler) oldest(now time.Time) time.Duration {
+// Oldest is how long the first task has waited for the start of its pieces.
+func (s *Scheduler) Oldest(now time.Time) time.Duration {
 	var oldest time.Duration
 	for _, t := range s.waiting {
 		oldest = max(oldest, now.Sub(t.arrived))
@@ -18,10 +18,10 @@
 	return oldest
 }
 
-// queue is how long new work that can be in time waits for the start of its
+// Queue is how long new work that can be in time waits for the start of its
 // call, roughly: what is late already goes after it, and what is due sooner
 // before it.
-func (s *scheduler) queue(now time.Time) Queue {
+func (s *Scheduler) Queue(now time.Time) Queue {
 	var waits Queue
 	usable := s.usable(now)
 	if len(usable) == 0 {
@@ -41,7 +41,7 @@
 
 // ahead is how many pieces wait that go before new work due within each of
 // dueSteps.
-func (s *scheduler) ahead(now time.Time) [len(dueSteps)]int {
+func (s *Scheduler) ahead(now time.Time) [len(dueSteps)]int {
 	var ahead [len(dueSteps)]int
 	for _, t := range s.waiting {
 		if s.late(now, t) {
@@ -60,7 +60,7 @@
 // rate is how many pieces a second the pool makes when more waits than it
 // takes. Where it has been crowded for a while that was seen; before, it is what
 // full calls would make.
-func (s *scheduler) rate(now time.Time, servers int) float64 {
+func (s *Scheduler) rate(now time.Time, servers int) float64 {
 	nominal := float64(s.spec.Size*servers*s.spec.Slots) / s.even(s.spec.Size).Seconds()
 	if !s.crowdedLong(now) {
 		return nominal
@@ -71,12 +71,12 @@
 // crowdedLong reports whether work has waited long enough for what was made and
 // what came meanwhile to tell of the pool: some calls at least, else the pieces
 // that wait for a first long call are taken for lost.
-func (s *scheduler) crowdedLong(now time.Time) bool {
-	return !s.crowdedSince.IsZero() && now.Sub(s.crowdedSince) >= 2*max(paceSpan, s.callTime())
+func (s *Scheduler) crowdedLong(now time.Time) bool {
+	return !s.crowdedSince.IsZero() && now.Sub(s.crowdedSince) >= 2*max(paceSpan, s.CallTime())
 }
 
 // noteCrowd notes whether more waits than free servers take.
-func (s *scheduler) noteCrowd(now time.Time) {
+func (s *Scheduler) noteCrowd(now time.Time) {
 	switch {
 	case len(s.waiting) == 0:
 		s.crowdedSince = time.Time{}
@@ -85,7 +85,7 @@
 	}
 }
 
-func (s *scheduler) busy(servers []*serverState) bool {
+func (s *Scheduler) busy(servers []*serverState) bool {
 	running := 0
 	for _, state := range servers {
 		running += len(state.running)
@@ -95,7 +95,7 @@
 
 // paced is how many pieces a second the pool makes lately. Where room or slow
 // servers bound it, that is less than calls and servers would allow.
-func (s *scheduler) paced(now time.Time) float64 {
+func (s *Scheduler) paced(now time.Time) float64 {
 	if s.pacedAt.IsZero() {
 		return 0
 	}
@@ -103,13 +103,13 @@
 }
 
 // made counts pieces that were made.
-func (s *scheduler) made(now time.Time, pieces int) {
+func (s *Scheduler) made(now time.Time, pieces int) {
 	s.pace = s.paced(now) + float64(pieces)/paceSpan.Seconds()
 	s.pacedAt = now
 }
 
-// callTime is how long calls take lately.
-func (s *scheduler) callTime() time.Duration {
+// CallTime is how long calls take lately.
+func (s *Scheduler) CallTime() time.Duration {
 	if s.lately == 0 {
 		return s.even(s.spec.Size / 2)
 	}
@@ -119,17 +119,17 @@
 // late reports whether a task that starts now cannot end in time. One that holds
 // room elsewhere never counts as late: while it waits, the pool where the room
 // is comes to a stand.
-func (s *scheduler) late(now time.Time, t *task) bool {
+func (s *Scheduler) late(now time.Time, t *Task) bool {
 	if t.holdsRoom() {
 		return false
 	}
-	return now.Add(s.callTime() + lateMargin).After(t.Latest)
+	return now.Add(s.CallTime() + lateMargin).After(t.Latest)
 }
 
 // order puts first what can still keep its objective, and there what must end
 // first.
-func (s *scheduler) order(now time.Time) {
-	slices.SortStableFunc(s.waiting, func(a, b *task) int {
+func (s *Scheduler) order(now time.Time) {
+	slices.SortStableFunc(s.waiting, func(a, b *Task) int {
 		lateA, lateB := s.late(now, a), s.late(now, b)
 		if lateA != lateB {
 			if lateA {
@@ -142,7 +142,7 @@
 }
 
 // rank orders tasks: by when they must end, with some time for each priority.
-func (t *task) rank() time.Time {
+func (t *Task) rank() time.Time {
 	return t.Latest.Add(PriorityTime(t.Priority))
 }
 
@@ -157,14 +157,14 @@
 // when one got free, and without what comes meanwhile, the longest wait for a
 // refusal was 1.9 s in a burst of twice what stages make, 0.7 s so (TestABurst in
 // platform/standin). The order must be fresh.
-func (s *scheduler) giveUp(now time.Time, usable []*serverState) {
+func (s *Scheduler) giveUp(now time.Time, usable []*serverState) {
 	turn := s.turn(now, usable)
 	rate := s.rate(now, len(usable))
 	ahead := 0
-	s.waiting = slices.DeleteFunc(s.waiting, func(t *task) bool {
+	s.waiting = slices.DeleteFunc(s.waiting, func(t *Task) bool {
 		wait := s.reach(now, t, turn, rate, ahead)
 		if now.Add(wait + s.spec.CallTime).After(t.Deadline) {
-			t.finish(FailureLate)
+			t.Finish(FailureLate)
 			return true
 		}
 		ahead += len(t.pending)
@@ -175,7 +175,7 @@
 // turn is how long it takes until one of the servers is free, by how long its
 // calls are expected to take yet. Half a call on average made up 1.5 s where a
 // call of 3 s had 0.3 s to go, and work that would have been reached was refused.
-func (s *scheduler) turn(now time.Time, usable []*serverState) time.Duration {
+func (s *Scheduler) turn(now time.Time, usable []*serverState) time.Duration {
 	if !s.busy(usable) {
 		return 0
 	}
--- a/internal/stagepool/outcome.go
+++ b/internal/stageplan/outcome.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The Wingvale Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package stagepool
+package stageplan
 
 import (
 	"fmt"
@@ -10,10 +10,10 @@
 	"time"
 )
 
-// overdue gives up on calls that take far too long: the answer is lost, or the
+// Overdue gives up on calls that take far too long: the answer is lost, or the
 // server much slower than it was. It returns them, and reports whether there
 // are calls to look at again. What they made takes up room until it expires.
-func (s *scheduler) overdue(now time.Time) (late []*batch, again bool) {
+func (s *Scheduler) Overdue(now time.Time) (late []*Call, again bool) {
 	for _, state := range s.servers {
 		for _, b := range slices.Clone(state.running) {
 			if b.cut {
@@ -44,16 +44,16 @@
 
 // lose notes that the results of a call are not known: they take up room until
 // they expire.
-func (s *scheduler) lose(now time.Time, b *batch) {
+func (s *Scheduler) lose(now time.Time, b *Call) {
 	b.server.used -= b.bytes
 	b.server.hold(fmt.Sprintf("lost %d", b.began.UnixNano()), b.bytes, now.Add(s.spec.Hold))
 }
 
-// unwanted returns the calls to end because nobody has waited for their pieces
+// Unwanted returns the calls to end because nobody has waited for their pieces
 // for unwantedFor, and reports whether there are calls to look at again. Their
 // servers stay taken until the calls should have ended: a stage server ends what
 // it is at work on, whether its caller is there or not.
-func (s *scheduler) unwanted(now time.Time) (cut []*batch, again bool) {
+func (s *Scheduler) Unwanted(now time.Time) (cut []*Call, again bool) {
 	for _, state := range s.servers {
 		for _, b := range state.running {
 			switch {
@@ -73,7 +73,7 @@
 }
 
 // dropCut frees the place of a call that was cut once it should have ended.
-func (s *scheduler) dropCut(now time.Time, b *batch) {
+func (s *Scheduler) dropCut(now time.Time, b *Call) {
 	if now.Sub(b.began) < b.expected {
 		return
 	}
@@ -83,14 +83,14 @@
 }
 
 // resend lets pieces wait again.
-func (s *scheduler) resend(items []sent) {
+func (s *Scheduler) resend(items []sent) {
 	for _, item := range items {
 		t := item.task
 		if t.ended || t.results[item.position].Handle != "" || slices.Contains(t.pending, item.position) {
 			continue
 		}
 		if t.tries[item.position] >= triesMost {
-			t.finish(FailureFailed)
+			t.Finish(FailureFailed)
 			continue
 		}
 		if len(t.pending) == 0 && !slices.Contains(s.waiting, t) {
@@ -100,9 +100,9 @@
 	}
 }
 
-// refused notes that a call was not taken: the server was full, or could not be
+// Refuse notes that a call was not taken: the server was full, or could not be
 // reached.
-func (s *scheduler) refused(now time.Time, b *batch, full bool) {
+func (s *Scheduler) Refuse(now time.Time, b *Call, full bool) {
 	if b.abandoned || b.cut {
 		return
 	}
@@ -126,13 +126,13 @@
 // that this host does not know of, or gave up, and has room when one ends. Of
 // hosts that do not reach each other, 461 calls found servers full with 40 ms,
 // and 45 with a call's time (TestHostsThatDoNotReachEachOtherShareServers).
-func (s *scheduler) untilRoom(state *serverState) time.Duration {
-	return max(time.Duration(float64(s.callTime())*min(state.factor, slowFactor)), fullPause)
+func (s *Scheduler) untilRoom(state *serverState) time.Duration {
+	return max(time.Duration(float64(s.CallTime())*min(state.factor, slowFactor)), fullPause)
 }
 
-// finished takes the outcomes of a call, one for each item, and returns the
+// Finish takes the outcomes of a call, one for each item, and returns the
 // results that nobody wants.
-func (s *scheduler) finished(now time.Time, b *batch, outcomes []Outcome) []Result {
+func (s *Scheduler) Finish(now time.Time, b *Call, outcomes []Outcome) []Result {
 	if b.abandoned || b.cut {
 		return nil
 	}
@@ -157,7 +157,7 @@
 		case o.Failure == FailureFailed:
 			again = append(again, item)
 		case o.Failure != "":
-			t.finish(o.Failure)
+			t.Finish(o.Failure)
 		default:
 			r := Result{Handle: o.Handle, Server: state.Address, Zone: state.Zone}
 			state.hold(o.Handle, t.ResultBytes, now.Add(s.spec.Hold))
@@ -170,14 +170,14 @@
 			// the same handle, and giving up the copy would take the result.
 			t.pending = slices.DeleteFunc(t.pending, func(p int) bool { return p == item.position })
 			if t.missing--; t.missing == 0 {
-				t.finish("")
+				t.Finish("")
 			}
 		}
 	}
 	s.resend(again)
 	for _, item := range b.items {
 		if t := item.task; t.ended && t.failure != "" {
-			unwanted = append(unwanted, t.takeResults()...)
+			unwanted = append(unwanted, t.TakeResults()...)
 		}
 	}
 	return unwanted
@@ -199,12 +199,12 @@
 	return count
 }
 
-func (s *scheduler) remove(b *batch) {
-	b.server.running = slices.DeleteFunc(b.server.running, func(other *batch) bool { return other == b })
+func (s *Scheduler) remove(b *Call) {
+	b.server.running = slices.DeleteFunc(b.server.running, func(other *Call) bool { return other == b })
 }
 
-// released notes that a server has given up results.
-func (s *scheduler) released(address netip.AddrPort, handles []string) {
+// Release notes that a server has given up results.
+func (s *Scheduler) Release(address netip.AddrPort, handles []string) {
 	state := s.servers[address]
 	if state == nil {
 		return
--- a/internal/stagepool/scheduler.go
+++ b/internal/stageplan/scheduler.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The Wingvale Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package stagepool
+package stageplan
 
 import (
 	"cmp"
@@ -54,19 +54,17 @@
 	// counts its server as kept at work for a caller who left: after half a
 	// second, of which the ways and recheck take some.
 	unwantedFor = 300 * time.Millisecond
-	// recheck is how soon servers whose calls are overdue are looked at again.
-	recheck = 50 * time.Millisecond
 )
 
-// scheduler decides what the next call of a pool has and where it goes. It is
+// Scheduler decides what the next call of a pool has and where it goes. It is
 // not safe for concurrent use.
-type scheduler struct {
+type Scheduler struct {
 	spec Spec
 	// rest returns for how long a server wants nothing from this host.
 	rest    func(instance string) time.Duration
 	servers map[netip.AddrPort]*serverState
 	// waiting has the tasks with pending pieces.
-	waiting []*task
+	waiting []*Task
 	// lately is the average time of the last calls, as their pieces have it.
 	lately time.Duration
 	// pace is how many pieces were made a second, over paceSpan, as of pacedAt.
@@ -79,12 +77,14 @@
 	flows [len(dueSteps)]flow
 }
 
-func newScheduler(spec Spec, rest func(instance string) time.Duration) *scheduler {
-	return &scheduler{spec: spec, rest: rest, servers: make(map[netip.AddrPort]*serverState)}
+// New returns the scheduler of a pool without servers; rest returns for how long a
+// server wants nothing from this host.
+func New(spec Spec, rest func(instance string) time.Duration) *Scheduler {
+	return &Scheduler{spec: spec, rest: rest, servers: make(map[netip.AddrPort]*serverState)}
 }
 
-// setServers replaces the servers, and keeps what is known of those that stay.
-func (s *scheduler) setServers(servers []Server) {
+// SetServers replaces the servers, and keeps what is known of those that stay.
+func (s *Scheduler) SetServers(servers []Server) {
 	listed := make(map[netip.AddrPort]bool, len(servers))
 	for _, server := range servers {
 		listed[server.Address] = true
@@ -103,8 +103,20 @@
 	}
 }
 
-func (s *scheduler) add(now time.Time, w Work) *task {
-	t := &task{
+// Configure replaces the pool's spec and its servers.
+func (s *Scheduler) Configure(spec Spec, servers []Server) {
+	s.spec = spec
+	s.SetServers(servers)
+}
+
+// Spec returns what the configuration says of the pool.
+func (s *Scheduler) Spec() Spec {
+	return s.spec
+}
+
+// Add lets work wait.
+func (s *Scheduler) Add(now time.Time, w Work) *Task {
+	t := &Task{
 		Work:    w,
 		arrived: now,
 		results: make([]Result, len(w.Pieces)),
@@ -120,8 +132,8 @@
 	return t
 }
 
-// pieces is how many pieces wait.
-func (s *scheduler) pieces() int {
+// Pieces is how many pieces wait.
+func (s *Scheduler) Pieces() int {
 	total := 0
 	for _, t := range s.waiting {
 		total += len(t.pending)
@@ -130,18 +142,18 @@
 }
 
 // expected is how long a call with so many pieces takes at a server.
-func (s *scheduler) expected(state *serverState, pieces int) time.Duration {
+func (s *Scheduler) expected(state *serverState, pieces int) time.Duration {
 	return time.Duration(float64(s.even(pieces)) * state.factor)
 }
 
 // even is how long a call with so many pieces takes at an undisturbed server.
-func (s *scheduler) even(pieces int) time.Duration {
+func (s *Scheduler) even(pieces int) time.Duration {
 	return s.spec.CallTime + time.Duration(pieces)*s.spec.PieceTime
 }
 
 // usable returns the servers that may get work, the quickest first. A slow one
 // is left out while there are others.
-func (s *scheduler) usable(now time.Time) []*serverState {
+func (s *Scheduler) usable(now time.Time) []*serverState {
 	var states []*serverState
 	for _, state := range s.servers {
 		state.fade(now)
@@ -158,16 +170,21 @@
 	return states
 }
 
-// next returns the next call, or nil where nothing can be sent now.
-func (s *scheduler) next(now time.Time) *batch {
-	b := s.choose(now)
-	if b == nil {
+// Next returns the next call, and reports false where nothing can be sent now.
+func (s *Scheduler) Next(now time.Time) (*Call, bool) {
+	c := s.choose(now)
+	if c == nil {
 		s.noteCrowd(now)
 	}
-	return b
+	return c, c != nil
+}
+
+// Idle reports whether nothing waits to be sent.
+func (s *Scheduler) Idle() bool {
+	return len(s.waiting) == 0
 }
 
-func (s *scheduler) choose(now time.Time) *batch {
+func (s *Scheduler) choose(now time.Time) *Call {
 	s.expire(now)
 	if len(s.waiting) == 0 {
 		return nil
@@ -200,8 +217,8 @@
 
 // fillFree makes up a call for one of the free servers: the one that suits the
 // first task that any of them suits.
-func (s *scheduler) fillFree(now time.Time, free []*serverState, zones map[string]bool) *batch {
-	pieces := s.pieces()
+func (s *Scheduler) fillFree(now time.Time, free []*serverState, zones map[string]bool) *Call {
+	pieces := s.Pieces()
 	for len(free) > 0 && pieces > 0 {
 		most := min((pieces+len(free)-1)/len(free), s.spec.Size)
 		split := pieces > s.spec.Size*len(free)
@@ -221,7 +238,7 @@
 // firstSuited returns the position of the server for the first task that may
 // run on one of them: in the task's zone where it has one, else in the zone with
 // most free servers, so that all zones keep some. It returns -1 for none.
-func (s *scheduler) firstSuited(now time.Time, free []*serverState, zones map[string]bool) int {
+func (s *Scheduler) firstSuited(now time.Time, free []*serverState, zones map[string]bool) int {
 	inZone := make(map[string]int)
 	for _, state := range free {
 		inZone[state.Zone]++
@@ -244,7 +261,7 @@
 }
 
 // suits reports whether a task is better run at one server than at another.
-func suits(t *task, one, other *serverState, inZone map[string]int) bool {
+func suits(t *Task, one, other *serverState, inZone map[string]int) bool {
 	if t.heavy() && t.Zone != "" && (one.Zone == t.Zone) != (other.Zone == t.Zone) {
 		return one.Zone == t.Zone
 	}
@@ -261,8 +278,8 @@
 }
 
 // fill makes up a call for a server.
-func (s *scheduler) fill(now time.Time, state *serverState, c callOf, zones map[string]bool) *batch {
-	b := &batch{server: state, target: state.Server, began: now}
+func (s *Scheduler) fill(now time.Time, state *serverState, c callOf, zones map[string]bool) *Call {
+	b := &Call{server: state, target: state.Server, began: now}
 	room := s.spec.Room - state.used
 	for _, t := range s.waiting {
 		if !s.fits(now, t, state, zones) || c.fresh && t.sentInVain() && now.Sub(t.arrived) < vainPatience {
@@ -280,10 +297,10 @@
 	if len(b.items) == 0 {
 		return nil
 	}
-	s.waiting = slices.DeleteFunc(s.waiting, func(t *task) bool { return len(t.pending) == 0 })
+	s.waiting = slices.DeleteFunc(s.waiting, func(t *Task) bool { return len(t.pending) == 0 })
 	b.expected = s.expected(state, len(b.items))
 	even := s.even(len(b.items))
-	s.lately = s.callTime() + (even-s.callTime())/latelyWeight
+	s.lately = s.CallTime() + (even-s.CallTime())/latelyWeight
 	state.used += b.bytes
 	state.running = append(state.running, b)
 	return b
@@ -292,7 +309,7 @@
 // takes is how many pieces of a task go into a call. A task is split only where
 // it is larger than a call, or where more waits than the free servers take and
 // full calls count: otherwise its pieces end together and in one zone.
-func (s *scheduler) takes(t *task, b *batch, most int, split bool, room int64) int {
+func (s *Scheduler) takes(t *Task, b *Call, most int, split bool, room int64) int {
 	count := min(len(t.pending), s.spec.Size-len(b.items))
 	if s.spec.Room > 0 && t.ResultBytes > 0 {
 		count = min(count, int(max(room-b.bytes, 0)/t.ResultBytes))
@@ -311,8 +328,8 @@
 }
 
 // fits reports whether a task may run at a server as far as zones go.
-func (s *scheduler) fits(now time.Time, t *task, state *serverState, zones map[string]bool) bool {
-	if !t.allows(state.Server) {
+func (s *Scheduler) fits(now time.Time, t *Task, state *serverState, zones map[string]bool) bool {
+	if !t.Allows(state.Server) {
 		return false
 	}
 	if !t.heavy() || t.Zone == "" || t.Zone == state.Zone || !zones[t.Zone] {
@@ -323,13 +340,13 @@
 
 // expire ends the tasks that are of no use any more and forgets results that
 // their servers have dropped.
-func (s *scheduler) expire(now time.Time) {
-	s.waiting = slices.DeleteFunc(s.waiting, func(t *task) bool {
+func (s *Scheduler) expire(now time.Time) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(t *Task) bool {
 		if t.ended {
 			return true
 		}
 		if now.Add(s.spec.CallTime).After(t.Deadline) {
-			t.finish(FailureLate)
+			t.Finish(FailureLate)
 			return true
 		}
 		return false
--- a/internal/stagepool/server.go
+++ b/internal/stageplan/server.go
@@ -1,17 +1,19 @@
 // Copyright 2026 The Wingvale Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package stagepool
+package stageplan
 
 import (
 	"math"
+	"net/netip"
+	"slices"
 	"time"
 )
 
 // serverState is what the owner knows of a server.
 type serverState struct {
 	Server
-	running []*batch
+	running []*Call
 	// used is the room that results and running calls take.
 	used int64
 	held map[string]heldResult
@@ -49,3 +51,34 @@
 	s.used += bytes
 	s.held[handle] = heldResult{bytes: bytes, expires: expires}
 }
+
+// ServerState is what is known of a server.
+type ServerState struct {
+	Address  netip.AddrPort `json:"address"`
+	Instance string         `json:"instance"`
+	Running  int            `json:"running"`
+	Used     int64          `json:"used_bytes"`
+	Factor   float64        `json:"factor"`
+	Failures int            `json:"failures"`
+}
+
+// Servers returns what is known of the servers, by address.
+func (s *Scheduler) Servers() []ServerState {
+	states := make([]ServerState, 0, len(s.servers))
+	for _, state := range s.servers {
+		states = append(states, ServerState{
+			Address: state.Address, Instance: state.Instance, Running: len(state.running), Used: state.used, Factor: state.factor, Failures: state.failures,
+		})
+	}
+	slices.SortFunc(states, func(a, b ServerState) int { return a.Address.Compare(b.Address) })
+	return states
+}
+
+// Server returns the server of the pool at an address, if there is one.
+func (s *Scheduler) Server(address netip.AddrPort) (Server, bool) {
+	state := s.servers[address]
+	if state == nil {
+		return Server{}, false
+	}
+	return state.Server, true
+}
--- a/internal/stagepool/slow.go
+++ b/internal/stageplan/slow.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The Wingvale Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package stagepool
+package stageplan
 
 import (
 	"slices"
@@ -36,7 +36,7 @@
 // fillSlow gives a server that is slow or loses answers what would wait longer for
 // the quick ones than it takes there, from the end of the order. What was sent in
 // vain before waits a while for one that loses no answers, unless all do.
-func (s *scheduler) fillSlow(now time.Time, slow []*serverState, quick int, zones map[string]bool) *batch {
+func (s *Scheduler) fillSlow(now time.Time, slow []*serverState, quick int, zones map[string]bool) *Call {
 	if len(s.waiting) == 0 {
 		return nil
 	}
@@ -45,7 +45,7 @@
 			continue
 		}
 		slices.Reverse(s.waiting)
-		b := s.fill(now, state, callOf{most: s.spec.Size, split: s.pieces() > s.spec.Size, fresh: quick > 0 && state.losesAnswers()}, zones)
+		b := s.fill(now, state, callOf{most: s.spec.Size, split: s.Pieces() > s.spec.Size, fresh: quick > 0 && state.losesAnswers()}, zones)
 		slices.Reverse(s.waiting)
 		if b != nil {
 			return b
@@ -56,23 +56,23 @@
 
 // waitFor is how long the last of what waits does so for one of the quick servers:
 // longer where more comes meanwhile that goes before it.
-func (s *scheduler) waitFor(now time.Time, quick int) time.Duration {
+func (s *Scheduler) waitFor(now time.Time, quick int) time.Duration {
 	if quick == 0 {
 		return never
 	}
 	last := s.waiting[len(s.waiting)-1]
 	rate := float64(s.spec.Size*quick*s.spec.Slots) / s.even(s.spec.Size).Seconds()
-	return s.reach(now, last, 0, rate, s.pieces()-len(last.pending))
+	return s.reach(now, last, 0, rate, s.Pieces()-len(last.pending))
 }
 
 // likely is how long so many pieces take at a server, sent anew elsewhere where the
 // answer is lost.
-func (s *scheduler) likely(state *serverState, pieces int) time.Duration {
+func (s *Scheduler) likely(state *serverState, pieces int) time.Duration {
 	expected := s.expected(state, pieces)
 	return expected + time.Duration(state.losing*float64(overdueAfter(expected)))
 }
 
-// overdue notes a call that took so many times as long as at an undisturbed server
+// Overdue notes a call that took so many times as long as at an undisturbed server
 // and was given up. Its answer may be lost, or the server slow: that one which is slow
 // is overdue again.
 func (s *serverState) overdue(ratio float64) {
--- a/internal/stagepool/work.go
+++ b/internal/stageplan/work.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The Wingvale Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package stagepool
+package stageplan
 
 import (
 	"net/netip"
@@ -80,8 +80,8 @@
 	return w.Beside || w.InputBytes >= heavyBytes
 }
 
-// allows reports whether a server may do the work.
-func (w *Work) allows(s Server) bool {
+// Allows reports whether a server may do the work.
+func (w *Work) Allows(s Server) bool {
 	return len(w.Homes) == 0 || slices.Contains(w.Homes, s.Region)
 }
 
--- a/internal/stagepool/group.go
+++ b/internal/stagepool/group.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/wingvale/wingvale/internal/stageplan"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
@@ -63,9 +65,9 @@
 	mu sync.Mutex
 	// pools has those of this host, by shard.
 	pools map[string]*Pool
-	specs map[string]Spec
+	specs map[string]stageplan.Spec
 	// servers has the servers of each service.
-	servers map[string][]Server
+	servers map[string][]stageplan.Server
 	// backlogs has a mutex of its own.
 	backlogs *backlogs
 }
@@ -79,14 +81,14 @@
 		options:  options,
 		ctx:      ctx,
 		pools:    make(map[string]*Pool),
-		specs:    make(map[string]Spec),
-		servers:  make(map[string][]Server),
+		specs:    make(map[string]stageplan.Spec),
+		servers:  make(map[string][]stageplan.Server),
 		backlogs: newBacklogs(),
 	}
 }
 
 // Configure replaces the services and their servers.
-func (g *Group) Configure(specs map[string]Spec, servers map[string][]Server) {
+func (g *Group) Configure(specs map[string]stageplan.Spec, servers map[string][]stageplan.Server) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.specs = specs
@@ -95,7 +97,7 @@
 		service, zone := splitShard(key)
 		spec, ok := specs[service]
 		if !ok {
-			spec = pool.scheduler.spec
+			spec = pool.scheduler.Spec()
 		}
 		pool.configure(spec, inZone(servers[service], zone))
 	}
@@ -106,7 +108,7 @@
 // zone goes to the zones by their servers, to the one of two where it waits
 // less; work that is leaves its zone only where it would wait far longer. The
 // mutex must be held.
-func (g *Group) shard(w Work) string {
+func (g *Group) shard(w stageplan.Work) string {
 	servers := g.servers[w.Service]
 	if len(servers) <= shardSize {
 		return w.Service
@@ -134,8 +136,8 @@
 
 // staying returns the servers that do not leave, as all of a zone may, and may do the
 // work.
-func staying(servers []Server, w Work) []Server {
-	return slices.DeleteFunc(slices.Clone(servers), func(s Server) bool { return s.Leaving || !w.allows(s) })
+func staying(servers []stageplan.Server, w stageplan.Work) []stageplan.Server {
+	return slices.DeleteFunc(slices.Clone(servers), func(s stageplan.Server) bool { return s.Leaving || !w.Allows(s) })
 }
 
 // wait is how long new work waits at a shard, as far as is known.
@@ -153,11 +155,11 @@
 	return key, ""
 }
 
-func inZone(servers []Server, zone string) []Server {
+func inZone(servers []stageplan.Server, zone string) []stageplan.Server {
 	if zone == "" {
 		return servers
 	}
-	var in []Server
+	var in []stageplan.Server
 	for _, s := range servers {
 		if s.Zone == zone {
 			in = append(in, s)
@@ -186,8 +188,8 @@
 
 // Answer is what Run returns.
 type Answer struct {
-	Results []Result
-	Failure Failure
+	Results []stageplan.Result
+	Failure stageplan.Failure
 	// Wait is how long new work waits at the pool; 0 is not known.
 	Wait time.Duration
 	// Owner is the host that made the calls.
@@ -196,7 +198,7 @@
 
 // Run makes the pieces of w, at the owner of its pool or the next host that
 // answers, and in the end by this host itself.
-func (g *Group) Run(ctx context.Context, w Work) Answer {
+func (g *Group) Run(ctx context.Context, w stageplan.Work) Answer {
 	g.mu.Lock()
 	shard := g.shard(w)
 	g.mu.Unlock()
@@ -206,7 +208,7 @@
 			return answer
 		}
 		if ctx.Err() != nil {
-			return Answer{Failure: FailureLate}
+			return Answer{Failure: stageplan.FailureLate}
 		}
 		g.options.Owners.Avoid(p.Address)
 		g.options.Scope.Counter("owner_failed").Inc(1)
@@ -216,17 +218,17 @@
 	return g.runHere(ctx, shard, w)
 }
 
-func (g *Group) runHere(ctx context.Context, shard string, w Work) Answer {
+func (g *Group) runHere(ctx context.Context, shard string, w stageplan.Work) Answer {
 	pool := g.pool(shard)
 	if pool == nil {
-		return Answer{Failure: FailureFailed}
+		return Answer{Failure: stageplan.FailureFailed}
 	}
 	results, failure := pool.run(ctx, w)
 	return Answer{Results: results, Failure: failure, Wait: g.refresh(shard, pool).Waits.Longest(), Owner: g.options.Self}
 }
 
 // ask hands w to another host, and gives up on it when it stands still.
-func (g *Group) ask(ctx context.Context, p owner.Peer, shard string, w Work) (Answer, error) {
+func (g *Group) ask(ctx context.Context, p owner.Peer, shard string, w stageplan.Work) (Answer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	client := stagepb.NewStagesProtobufClient("http://"+p.Control.String(), g.options.HTTP)
@@ -248,7 +250,7 @@
 	}
 	return Answer{
 		Results: results,
-		Failure: Failure(reply.GetFailure()),
+		Failure: stageplan.Failure(reply.GetFailure()),
 		Wait:    g.wait(shard),
 		Owner:   p.Address,
 	}, nil
@@ -274,12 +276,12 @@
 }
 
 // Release gives up results of a service, by the host that owns their servers.
-func (g *Group) Release(service string, results []Result) {
-	byZone := make(map[string][]Result)
+func (g *Group) Release(service string, results []stageplan.Result) {
+	byZone := make(map[string][]stageplan.Result)
 	for _, r := range results {
 		byZone[r.Zone] = append(byZone[r.Zone], r)
 	}
-	byShard := make(map[string][]Result)
+	byShard := make(map[string][]stageplan.Result)
 	g.mu.Lock()
 	for zone, part := range byZone {
 		shard := service
@@ -294,7 +296,7 @@
 	}
 }
 
-func (g *Group) releaseShard(shard string, results []Result) {
+func (g *Group) releaseShard(shard string, results []stageplan.Result) {
 	for _, p := range g.options.Owners.Others(shard, ownersTried) {
 		ctx, cancel := context.WithTimeout(g.ctx, freeFor)
 		client := stagepb.NewStagesProtobufClient("http://"+p.Control.String(), g.options.HTTP)
--- a/internal/stagepool/service.go
+++ b/internal/stagepool/service.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"github.com/wingvale/wingvale/internal/stageplan"
+
 	"github.com/twitchtv/twirp"
 
 	"github.com/wingvale/wingvale/internal/peerhttp"
@@ -57,7 +59,7 @@
 	return &stagepb.ReleaseReply{}, nil
 }
 
-func requestMessage(now time.Time, shard string, w Work) *stagepb.RunRequest {
+func requestMessage(now time.Time, shard string, w stageplan.Work) *stagepb.RunRequest {
 	m := &stagepb.RunRequest{
 		Service:     w.Service,
 		Request:     w.Request,
@@ -82,8 +84,8 @@
 	return m
 }
 
-func workOf(now time.Time, m *stagepb.RunRequest) Work {
-	w := Work{
+func workOf(now time.Time, m *stagepb.RunRequest) stageplan.Work {
+	w := stageplan.Work{
 		Service:     m.GetService(),
 		Request:     m.GetRequest(),
 		Stage:       int(m.GetStage()),
@@ -106,7 +108,7 @@
 	return w
 }
 
-func resultMessages(results []Result) []*stagepb.Result {
+func resultMessages(results []stageplan.Result) []*stagepb.Result {
 	messages := make([]*stagepb.Result, 0, len(results))
 	for _, r := range results {
 		server, err := r.Server.MarshalBinary()
@@ -118,10 +120,10 @@
 	return messages
 }
 
-func resultsOf(messages []*stagepb.Result) ([]Result, error) {
-	results := make([]Result, 0, len(messages))
+func resultsOf(messages []*stagepb.Result) ([]stageplan.Result, error) {
+	results := make([]stageplan.Result, 0, len(messages))
 	for _, m := range messages {
-		r := Result{Handle: m.GetHandle(), Zone: m.GetZone()}
+		r := stageplan.Result{Handle: m.GetHandle(), Zone: m.GetZone()}
 		if err := r.Server.UnmarshalBinary(m.GetServer()); err != nil {
 			return nil, fmt.Errorf("stagepool: result with server %x: %w", m.GetServer(), err)
 		}
