gateway: let lapsed servers go when they are due

Ruled out: stages (it is a plain server), a late watch (heard of after 0.13 s). Change: the upkeep looks again when the next lapsed server is due. Its test fails with looks every 200 ms.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -28,6 +28,9 @@
 // Due reports whether a server is to be let go.
 func (m Members) Due(now time.Time) bool { return m.m.due(now) }
 
+// DueIn is how long it is until the next server is to be let go.
+func (m Members) DueIn(now time.Time, most time.Duration) time.Duration { return m.m.dueIn(now, most) }
+
 // Merge returns the names of the servers to use.
 func (m Members) Merge(now time.Time, listed map[string]relay.Server, log logrus.FieldLogger) []string {
 	var names []string
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -17,6 +17,8 @@
 	// lapsedFor is how long a server whose entry is missing after an outage of
 	// the publisher is kept: entries that lapsed meanwhile are back within 2 s.
 	lapsedFor = 1800 * time.Millisecond
+	// dueSlack makes a look that waits for a moment come after it.
+	dueSlack = time.Millisecond
 	// outageTail is how long after an outage a removal counts as a lapse.
 	outageTail = 4 * time.Second
 )
@@ -71,6 +73,17 @@
 	return false
 }
 
+// dueIn is how long it is until the next lapsed server is to be let go, at most most.
+func (m *members) dueIn(now time.Time, most time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	soonest := most
+	for _, until := range m.lapsed {
+		soonest = min(soonest, max(until.Sub(now), 0)+dueSlack)
+	}
+	return soonest
+}
+
 // merge returns the servers to use. Listed has them by key, of which revision
 // returns when it changed last.
 func (m *members) merge(now time.Time, listed map[string]relay.Server, revision func(key string) uint64, log logrus.FieldLogger) []relay.Server {
--- a/internal/gateway/members_test.go
+++ b/internal/gateway/members_test.go
@@ -55,6 +55,23 @@
 	assert.DeepEqual(t, m.Merge(back.Add(10*time.Second), listed("a"), quiet()), []string{"a"})
 }
 
+// Servers that had lapsed were looked at every 200 ms only, and got a request 2.03 s
+// after they had said that they leave, of 2 s allowed.
+func TestALapsedServerIsLetGoWhenItIsDue(t *testing.T) {
+	const most = 200 * time.Millisecond
+	m := gateway.NewMembers()
+	m.Merge(start, listed("a"), quiet())
+	assert.Equal(t, m.DueIn(start, most), most, "none has lapsed")
+	m.Lost(start)
+	m.Regained(start)
+	m.Merge(start, nil, quiet())
+	now := start.Add(1700 * time.Millisecond)
+	assert.Assert(t, !m.Due(now))
+	now = now.Add(m.DueIn(now, most))
+	assert.Assert(t, now.Sub(start) <= 1810*time.Millisecond, "looked at after %v", now.Sub(start))
+	assert.Assert(t, m.Due(now))
+}
+
 func TestALeavingServerThatLapsesIsGone(t *testing.T) {
 	m := gateway.NewMembers()
 	servers := listed("a")
--- a/internal/gateway/upkeep.go
+++ b/internal/gateway/upkeep.go
@@ -50,7 +50,7 @@
 			n.suspects.Forget()
 			n.notices.Forget()
 		}
-		timer.Reset(tickEvery)
+		timer.Reset(n.members.dueIn(time.Now(), tickEvery))
 	}
 }
 
