stageplan: set aside what keeps the rest from being in time; leave zones rather than be late

Hypotheses: (a) served by what is due first, all of a burst ends just too late: with the tasks that take most of the pool set aside (after Moore and Hodgson) the rest is in time; (b) work with large results should leave its zone where it would be late there. What is set aside goes with what is late. TestWhatCannotBeReachedIsToldWhileAllServersWork: its last task of one piece is reached now, before those of eight; it has eight pieces and is less urgent, so that four calls are ahead of it again.

--- a/internal/stageplan/order.go
+++ b/internal/stageplan/order.go
@@ -44,7 +44,7 @@
 func (s *Scheduler) ahead(now time.Time) [len(dueSteps)]int {
 	var ahead [len(dueSteps)]int
 	for _, t := range s.waiting {
-		if s.late(now, t) {
+		if s.goesLast(now, t) {
 			continue
 		}
 		due := t.rank().Sub(now)
@@ -127,10 +127,20 @@
 }
 
 // order puts first what can still keep its objective, and there what must end
-// first.
-func (s *Scheduler) order(now time.Time) {
+// first; what is set aside goes with what is late.
+func (s *Scheduler) order(now time.Time, usable []*serverState) {
+	for _, t := range s.waiting {
+		t.aside = false
+	}
+	s.sort(now)
+	if s.setAside(now, usable) {
+		s.sort(now)
+	}
+}
+
+func (s *Scheduler) sort(now time.Time) {
 	slices.SortStableFunc(s.waiting, func(a, b *Task) int {
-		lateA, lateB := s.late(now, a), s.late(now, b)
+		lateA, lateB := s.goesLast(now, a), s.goesLast(now, b)
 		if lateA != lateB {
 			if lateA {
 				return 1
@@ -141,6 +151,11 @@
 	})
 }
 
+// goesLast reports whether a task goes after all that can be in time.
+func (s *Scheduler) goesLast(now time.Time, t *Task) bool {
+	return t.aside || s.late(now, t)
+}
+
 // rank orders tasks: by when they must end, with some time for each priority.
 func (t *Task) rank() time.Time {
 	return t.Latest.Add(PriorityTime(t.Priority))
@@ -153,10 +168,8 @@
 }
 
 // giveUp ends tasks that would not be reached before they are of no use, so that
-// their callers hear of it at once, also while all servers work: looked at only
-// when one got free, and without what comes meanwhile, the longest wait for a
-// refusal was 1.9 s in a burst of twice what stages make, 0.7 s so (TestABurst in
-// platform/standin). The order must be fresh.
+// their callers hear of it at once, also while all servers work. The order must be
+// fresh.
 func (s *Scheduler) giveUp(now time.Time, usable []*serverState) {
 	turn := s.turn(now, usable)
 	rate := s.rate(now, len(usable))
@@ -173,17 +186,14 @@
 }
 
 // turn is how long it takes until one of the servers is free, by how long its
-// calls are expected to take yet. Half a call on average made up 1.5 s where a
-// call of 3 s had 0.3 s to go, and work that would have been reached was refused.
+// calls are expected to take yet.
 func (s *Scheduler) turn(now time.Time, usable []*serverState) time.Duration {
 	if !s.busy(usable) {
 		return 0
 	}
 	soonest := s.even(s.spec.Size)
 	for _, state := range usable {
-		for _, b := range state.running {
-			soonest = min(soonest, max(b.expected-now.Sub(b.began), 0))
-		}
+		soonest = min(soonest, s.freeIn(now, state))
 	}
 	return soonest
 }
--- a/internal/stageplan/outcome.go
+++ b/internal/stageplan/outcome.go
@@ -123,9 +123,7 @@
 }
 
 // untilRoom is how long a server is left alone that was full: it works on calls
-// that this host does not know of, or gave up, and has room when one ends. Of
-// hosts that do not reach each other, 461 calls found servers full with 40 ms,
-// and 45 with a call's time (TestHostsThatDoNotReachEachOtherShareServers).
+// that this host does not know of, or gave up, and has room when one ends.
 func (s *Scheduler) untilRoom(state *serverState) time.Duration {
 	return max(time.Duration(float64(s.CallTime())*min(state.factor, slowFactor)), fullPause)
 }
--- a/internal/stageplan/scheduler.go
+++ b/internal/stageplan/scheduler.go
@@ -12,12 +12,9 @@
 
 const (
 	// heavyBytes is the size of results or inputs from which work is done in
-	// its zone: the platform's price of one gigabyte that crosses zones is some
-	// ten requests' worth.
+	// its zone.
 	heavyBytes = 256 << 10
-	// zonePatience is how long heavy work waits for a server of its zone, about
-	// two calls. The inputs of one stage that crosses zones are priced like a
-	// small request.
+	// zonePatience is the longest that heavy work waits for a server of its zone.
 	zonePatience = 500 * time.Millisecond
 	// ejectFirst and ejectMost bound how long a failing server is left alone.
 	ejectFirst = 200 * time.Millisecond
@@ -32,8 +29,7 @@
 	// next lower priority.
 	priorityTime = 700 * time.Millisecond
 	// lateMargin is kept between the end of a call and the moment by which it
-	// must have ended, for the ways and the next call's turn; without it, a
-	// crowded pool serves everybody just too late.
+	// must have ended, for the ways and the next call's turn.
 	lateMargin = 60 * time.Millisecond
 	// latelyWeight is how many calls the average time of calls comes from.
 	latelyWeight = 8
@@ -207,7 +203,8 @@
 	if len(usable) == 0 {
 		return nil
 	}
-	s.order(now)
+	s.order(now, usable)
+	s.leaveZones(now, usable)
 	s.giveUp(now, usable)
 	if b := s.fillFree(now, free, zones); b != nil {
 		return b
@@ -335,7 +332,7 @@
 	if !t.heavy() || t.Zone == "" || t.Zone == state.Zone || !zones[t.Zone] {
 		return true
 	}
-	return now.Sub(t.arrived) > zonePatience
+	return t.leavesZone || now.Sub(t.arrived) > zonePatience
 }
 
 // expire ends the tasks that are of no use any more and forgets results that
--- a/internal/stageplan/slow.go
+++ b/internal/stageplan/slow.go
@@ -11,8 +11,7 @@
 // A server may be slow, or lose the answers to some of its calls, and nothing tells
 // which: a call that is overdue may be either. Slow servers make what they are given,
 // late; those that lose answers make some of it in vain. Both get work only when the
-// others would have it wait for longer. With nine of 15 servers losing 3 in 10 answers,
-// the longest wait was 3.9 s while one overdue call made a server slow, and 2.1 s so.
+// others would have it wait for longer.
 const (
 	// slowFactor is how much slower than the quickest a server must be to get
 	// work only when no other is left.
--- a/internal/stageplan/task.go
+++ b/internal/stageplan/task.go
@@ -16,6 +16,10 @@
 	tries []int
 	// missing is how many pieces have no result.
 	missing int
+	// aside says that it is made last so that others are in time, leavesZone that it
+	// may be made in any zone; both are found anew before each call.
+	aside, leavesZone bool
+
 	failure Failure
 	ended   bool
 	done    chan struct{}
