--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -39,9 +39,6 @@
 // TargetOf picks a route's service.
 func TargetOf(r Route, point float64) string { return r.target(point) }
 
-// ShedShare is the share of requests that are refused.
-func ShedShare(waits, slack time.Duration) float64 { return shedShare(waits, slack) }
-
 // Objective returns how long after it arrives a request on a route that may be
 // held so long is in time.
 func Objective(c *Core, r *Route, held time.Duration) time.Duration {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -111,16 +111,6 @@
 	assert.Equal(t, relay.TargetOf(r, 0.9999), "b")
 }
 
-func TestMoreIsRefusedTheLongerPoolsWait(t *testing.T) {
-	for _, c := range []struct {
-		waits time.Duration
-		want  float64
-	}{{0, 0}, {400 * time.Millisecond, 0}, {600 * time.Millisecond, 0.5}, {time.Second, 0.85}, {time.Minute, 0.85}} {
-		got := relay.ShedShare(c.waits, time.Second)
-		assert.Assert(t, got > c.want-1e-9 && got < c.want+1e-9, "%v of a second: got %v, want %v", c.waits, got, c.want)
-	}
-}
-
 func TestCallersThatComeBackHaveLessTime(t *testing.T) {
 	c := relay.New(relay.Options{Hosts: func() int { return 1 }, Boot: steady, Random: rand.New(rand.NewPCG(1, 1))})
 	r := &relay.Route{Name: "r", Timeout: 10 * time.Second}
--- a/internal/relay/shed.go
+++ b/internal/relay/shed.go
@@ -8,23 +8,11 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/wingvale/wingvale/internal/admit"
 	"github.com/wingvale/wingvale/internal/stageplan"
 )
 
 const (
-	// shedFrom and shedFull are waits at the pools over the time that a request
-	// can wait and be in time: from the first on some requests are refused, and
-	// beyond the second most. They leave a margin since pools are heard of up to
-	// a second late and each host decides alone; TestOverload in platform/standin
-	// serves most in time with these.
-	shedFrom = 0.4
-	shedFull = 0.8
-	// slackLeast is the least share of the objective that counts as time to
-	// wait: what idle pools and engines take is known roughly only.
-	slackLeast = 0.1
-	// shedMost is the largest share that is refused; the rest tells how the
-	// pools do.
-	shedMost = 0.85
 	// returnShare of the time that a caller has left is the longest that it
 	// stays away; callers come back sooner if told to stay longer.
 	returnShare = 1.0 / 3
@@ -42,18 +30,22 @@
 
 // shed decides at once, before anything is sent, whether a request is refused
 // because its stages' pools are so full that it would be late. It returns nil
-// where the request is served. What would be late at idle pools too is left to the
-// pools' owners, who know whether they reach it.
+// where the request is served.
 func (g *graph) shed() error {
 	j := g.job
-	left := time.Until(j.objective)
-	idle := g.estimate(len(j.route.Stages)) + expectedRead(j.Request)
-	if idle > left {
+	request := admit.Request{
+		Left:      time.Until(j.objective),
+		Objective: j.route.Objective,
+		Idle:      g.estimate(len(j.route.Stages)) + expectedRead(j.Request),
+		Delay:     j.core.engineDelay(j.route),
+		Deep:      g.deepest(),
+	}
+	if !request.Judged() {
 		return nil
 	}
-	slack := max(left-idle-j.core.engineDelay(j.route), time.Duration(slackLeast*float64(j.route.Objective)))
+	slack := request.Slack()
 	waits := g.waitsSum(slack)
-	share := shedShare(waits, slack)
+	share := admit.Share(waits, slack)
 	if j.core.chance() >= share {
 		return nil
 	}
@@ -61,19 +53,12 @@
 	after := max(j.returnAfter(), waits-slack)
 	j.core.scope.Counter("shed").Inc(1)
 	j.log.WithFields(logrus.Fields{
-		"waits_ms": waits.Milliseconds(), "slack_ms": slack.Milliseconds(), "left_ms": left.Milliseconds(),
+		"waits_ms": waits.Milliseconds(), "slack_ms": slack.Milliseconds(), "left_ms": request.Left.Milliseconds(),
 		"share": share, "return_ms": after.Milliseconds(),
 	}).Info("refused: the stages are too full to be in time")
 	return j.refuse(ReasonCrowded, after, "stages wait %v of %v", waits.Round(time.Millisecond), slack.Round(time.Millisecond))
 }
 
-// shedShare is the share of the requests to refuse that would wait so long of
-// the time they can wait.
-func shedShare(waits, slack time.Duration) float64 {
-	over := waits.Seconds()/slack.Seconds() - shedFrom
-	return min(max(over/(shedFull-shedFrom), 0), shedMost)
-}
-
 // returnAfter is when a caller turned away by crowded pools is to come back: as
 // late as it would wait for it, spread out so that not all return at once.
 func (j *job) returnAfter() time.Duration {
@@ -93,9 +78,7 @@
 
 // firstTry is when the caller sent its first try, by the time that it has left:
 // callers that come back after a refusal keep the time limit of the first. With an
-// objective counted anew they went before what could still be in time: in a burst
-// of a quarter over what stages make, 868 of 1,351 requests were in time, and
-// 1,212 so (TestABurst in platform/standin).
+// objective counted anew they would go before what can still be in time.
 func (j *job) firstTry() time.Time {
 	held := j.deadline.Sub(j.Arrived)
 	longest := j.core.longestHeld(j.route, held)
--- /dev/null
+++ b/internal/stageplan/scarce_test.go
@@ -0,0 +1,91 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package stageplan_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/stageplan"
+)
+
+// scarce has one dear kind of request, and two cheap ones with long chains, at a
+// first pool of few servers with little room.
+func scarce() chainLoad {
+	return chainLoad{
+		pools: []poolLoad{
+			{servers: 4, spec: stageplan.Spec{Service: "ledger", Size: 8, Slots: 1, CallTime: 200 * ms, PieceTime: 21 * ms, Room: 18e6, Hold: 4 * time.Second}},
+			{servers: 5, spec: stageplan.Spec{Service: "split", Size: 24, Slots: 1, CallTime: 200 * ms, PieceTime: 7100 * time.Microsecond, Room: 3.1e6, Hold: 4 * time.Second}},
+			{servers: 5, spec: stageplan.Spec{Service: "names", Size: 40, Slots: 1, CallTime: 200 * ms, PieceTime: 4300 * time.Microsecond, Room: 0.52e6, Hold: 4 * time.Second}},
+		},
+		kinds: []kind{
+			{
+				name: "digest", perSecond: 11.6, objective: 1100 * ms, limit: 6 * time.Second, worth: 4.7, late: 0.7, read: 90 * ms,
+				stages: []chainStage{{pool: "ledger", share: 0.7, pieces: 2.5, bytes: 1.5e6}},
+			},
+			{
+				name: "answer", perSecond: 14.1, objective: 2300 * ms, limit: 6 * time.Second, worth: 1.1, late: 0.17, priority: 1, read: 50 * ms,
+				stages: []chainStage{
+					{pool: "ledger", share: 1, pieces: 1, bytes: 8000, effort: 0.3},
+					{pool: "split", after: []int{0}, share: 1, pieces: 6, bytes: 60000},
+					{pool: "names", after: []int{1}, share: 1, pieces: 10, bytes: 6000},
+				},
+			},
+			{
+				name: "confirm", perSecond: 13.1, objective: 2500 * ms, limit: 20 * time.Second, worth: 0.42, late: 0.063, priority: 2, read: 15 * ms,
+				stages: []chainStage{
+					{pool: "ledger", share: 0.4, pieces: 1.5, bytes: 1.5e6},
+					{pool: "ledger", share: 1, pieces: 1, bytes: 8000, effort: 0.3},
+					{pool: "split", after: []int{1}, share: 1, pieces: 6, bytes: 60000},
+					{pool: "names", after: []int{2}, share: 1, pieces: 10, bytes: 6000},
+				},
+			},
+		},
+		bursts: []burst{
+			{kind: "digest", at: 4 * time.Second, ends: 10 * time.Second, times: 2.4},
+			{kind: "answer", at: 16 * time.Second, ends: 22 * time.Second, times: 2.5},
+			{at: 26 * time.Second, ends: 30 * time.Second, times: 1.6},
+		},
+		outages: []outage{
+			{pool: "ledger", at: 3 * time.Second, ends: 13 * time.Second, servers: 1},
+			{pool: "ledger", at: 13 * time.Second, ends: 18 * time.Second, servers: 2},
+			{pool: "ledger", at: 18 * time.Second, ends: 40 * time.Second, servers: 1},
+		},
+		lasts: 34 * time.Second,
+	}
+}
+
+// playAll plays a load with each seed and returns the mean over them.
+func playAll(load chainLoad, seeds int, share func(*chainPlayed) float64) float64 {
+	shares := make([]float64, seeds)
+	var all sync.WaitGroup
+	for seed := range seeds {
+		all.Go(func() { shares[seed] = share(playChain(load, uint64(seed))) })
+	}
+	all.Wait()
+	sum := 0.0
+	for _, s := range shares {
+		sum += s
+	}
+	return sum / float64(seeds)
+}
+
+// One or two of the four servers of the pool that is short are gone through bursts of
+// each kind. Nine tenths of the dear kind's worth is wanted all the same, and of all
+// worth that comes: what the pool can't make is to be the cheap kinds' work, without
+// turning these away for good.
+func TestScarceStagesServeWhatIsWorthMost(t *testing.T) {
+	const seeds = 6
+	t.Logf("one play: %v", playChain(scarce(), 0))
+	share := playAll(scarce(), seeds, (*chainPlayed).share)
+	dear := playAll(scarce(), seeds, func(p *chainPlayed) float64 { return p.of("digest") })
+	cheap := playAll(scarce(), seeds, func(p *chainPlayed) float64 { return p.of("confirm") })
+	t.Logf("share %.3f, dear kind %.3f, cheapest kind %.3f", share, dear, cheap)
+	assert.Check(t, share >= 0.9, "%.3f of the worth", share)
+	assert.Check(t, dear >= 0.9, "%.3f of the dear kind's", dear)
+	assert.Check(t, cheap >= 0.5, "%.3f of the cheapest kind's", cheap)
+}
