--- a/internal/suspect/book.go
+++ b/internal/suspect/book.go
@@ -209,15 +209,47 @@
 	return all
 }
 
-// weight is how many servers ended under a request and were not cleared.
-func (b *Book) weight(digest Digest) int {
-	count := 0
+// strength is how much speaks for a request having ended the servers it lay on.
+type strength struct {
+	// alone says that a server ended under it with no other request on it, ends how many
+	// ended under it; neither counts what was cleared.
+	alone bool
+	ends  int
+}
+
+// compare orders strengths: what ended a server alone goes before all that did not, so
+// that what merely lay beside several harmful requests never outweighs any of them.
+func (s strength) compare(other strength) int {
+	if s.alone != other.alone {
+		if s.alone {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(s.ends, other.ends)
+}
+
+func (b *Book) strength(digest Digest) strength {
+	var s strength
 	for _, e := range b.requests[digest] {
-		if !e.Cleared {
-			count++
+		if e.Cleared {
+			continue
+		}
+		s.ends++
+		s.alone = s.alone || b.alone(e)
+	}
+	return s
+}
+
+// alone reports whether no other request lay on the server that ended, but for those
+// that were cleared.
+func (b *Book) alone(e *End) bool {
+	for other := range b.servers[e.Server] {
+		if other != e.Request && !b.requests[other][e.Server].Cleared {
+			return false
 		}
 	}
-	return count
+	return true
 }
 
 // Of returns what is to be done with a request.
@@ -228,9 +260,9 @@
 		return v
 	}
 	var last time.Time
-	weight := b.weight(digest)
+	mine := b.strength(digest)
 	for _, e := range ends {
-		if e.Cleared || b.otherDid(e, weight) {
+		if e.Cleared || b.otherDid(e, mine) {
 			continue
 		}
 		v.Counted++
@@ -252,10 +284,10 @@
 }
 
 // otherDid reports whether an end is put down to another request that lay on the same
-// server: one under which more servers ended, or as many and whose answer had not
-// begun there while this one's had. What merely lay on servers that one request ends
-// over and over is so never suspected for those.
-func (b *Book) otherDid(e *End, weight int) bool {
+// server: a stronger one, or one as strong whose answer had not begun there while this
+// one's had. What merely lay on servers that other requests end over and over is so never
+// suspected for those.
+func (b *Book) otherDid(e *End, mine strength) bool {
 	for other := range b.servers[e.Server] {
 		if other == e.Request {
 			continue
@@ -264,8 +296,8 @@
 		if theirs.Cleared {
 			continue
 		}
-		w := b.weight(other)
-		if w > weight || w == weight && e.Answered && !theirs.Answered {
+		stronger := b.strength(other).compare(mine)
+		if stronger > 0 || stronger == 0 && e.Answered && !theirs.Answered {
 			return true
 		}
 	}
--- a/internal/suspect/book_test.go
+++ b/internal/suspect/book_test.go
@@ -102,6 +102,26 @@
 	assert.Equal(t, b.Of(now, 2).State, suspect.Kept)
 }
 
+// A request lay on four servers of each of two others that ended five, one of them with
+// nothing else on it: its eight ends are theirs.
+func TestARequestBesideTwoThatEndServersAloneIsFree(t *testing.T) {
+	b := suspect.NewBook()
+	now := start.Add(20 * time.Second)
+	for server := range 10 {
+		harmful := suspect.Digest(1 + server/5)
+		b.Merge(now, ended(harmful, server, time.Duration(server)*time.Second))
+		if server%5 > 0 {
+			b.Merge(now, ended(3, server, time.Duration(server)*time.Second))
+		}
+	}
+	assert.Equal(t, b.Of(now, 1).State, suspect.Kept)
+	assert.Equal(t, b.Of(now, 2).State, suspect.Kept)
+	v := b.Of(now, 3)
+	assert.Equal(t, v.State, suspect.Free)
+	assert.Equal(t, v.Ends, 8)
+	assert.Equal(t, v.Counted, 0)
+}
+
 // Of two requests that lay on the same servers, the one whose answers had begun there
 // ran when the other began.
 func TestARequestWhoseAnswerHadBegunIsSuspectedLast(t *testing.T) {
