stageplan: late work leaves half of the servers for what comes in time

Cause: after the loss of all hosts, and in overload, callers that come back late fill servers that are free for a moment; what comes a little later and could be in time waits for a call. Change: what is late is begun only while more than half of the servers are free, unless less than one piece that can be in time comes while a call lasts.

--- a/internal/stageplan/aside_test.go
+++ b/internal/stageplan/aside_test.go
@@ -71,3 +71,37 @@
 		}
 	}
 }
+
+// Ten requests a second come in time, and callers that come back late beside them: the
+// late ones get servers while more than half of them are free. Where nothing comes they get
+// all.
+func TestLateWorkLeavesServersForWhatComes(t *testing.T) {
+	for _, c := range []struct {
+		comes bool
+		calls int
+	}{{true, 2}, {false, 4}} {
+		s := newScheduler(spec, server(1, "a"), server(2, "a"), server(3, "a"), server(4, "a"))
+		now := start
+		for i := range 10 {
+			if !c.comes {
+				break
+			}
+			w := due(fmt.Sprint("timely", i), 1, 0, 2*time.Second)
+			s.Add(now, w)
+			call := next(t, s, now)
+			now = now.Add(100 * ms)
+			s.Finish(now.Add(-ms), call, made(call))
+		}
+		for i := range 8 {
+			s.Add(now, due(fmt.Sprint("late", i), 4, 0, 0))
+		}
+		calls := 0
+		for {
+			if _, ok := s.Next(now); !ok {
+				break
+			}
+			calls++
+		}
+		assert.Equal(t, calls, c.calls, "others come in time: %v", c.comes)
+	}
+}
--- a/internal/stageplan/flow.go
+++ b/internal/stageplan/flow.go
@@ -97,6 +97,15 @@
 	return pieces
 }
 
+// comesWithin is how many pieces come within a time that can be made in time.
+func (s *Scheduler) comesWithin(now time.Time, within time.Duration) float64 {
+	var pieces float64
+	for i := range s.flows {
+		pieces += s.flows[i].paced(now) * within.Seconds()
+	}
+	return pieces
+}
+
 // seconds returns a time of so many seconds, at most never.
 func seconds(count float64) time.Duration {
 	return time.Duration(min(count, never.Seconds()) * float64(time.Second))
--- a/internal/stageplan/scarce_test.go
+++ b/internal/stageplan/scarce_test.go
@@ -89,3 +89,18 @@
 	assert.Check(t, dear >= 0.9, "%.3f of the dear kind's", dear)
 	assert.Check(t, cheap >= 0.5, "%.3f of the cheapest kind's", cheap)
 }
+
+// All hosts are lost for 1.4 s. Servers are full of what nobody can give up, and callers
+// that come back late compete with new ones: two seconds after the hosts are back four
+// fifths of what comes are served in time again.
+func TestScarceStagesRecoverFromTheLossOfAllHosts(t *testing.T) {
+	const seeds = 6
+	load := scarce()
+	load.bursts = []burst{{at: 26 * time.Second, ends: 30 * time.Second, times: 1.6}}
+	load.outages = nil
+	load.losses = []loss{{at: 34500 * ms, ends: 35900 * ms}}
+	load.lasts = 44 * time.Second
+	after := playAll(load, seeds, func(p *chainPlayed) float64 { return p.windows[19] })
+	t.Logf("from 38 to 40 s %.3f", after)
+	assert.Check(t, after >= 0.8, "%.3f", after)
+}
--- a/internal/stageplan/scheduler.go
+++ b/internal/stageplan/scheduler.go
@@ -206,12 +206,23 @@
 	s.order(now, usable)
 	s.leaveZones(now, usable)
 	s.giveUp(now, usable)
-	if b := s.fillFree(now, free, zones); b != nil {
-		return b
+	if !s.keepsFree(now, len(free), len(usable)) {
+		if b := s.fillFree(now, free, zones); b != nil {
+			return b
+		}
 	}
 	return s.fillSlow(now, slow, len(usable)-len(slow), zones)
 }
 
+// keepsFree reports whether what is late waits although servers are free: half of them
+// are kept for what comes and can be in time, which would wait for a whole call.
+func (s *Scheduler) keepsFree(now time.Time, free, usable int) bool {
+	if len(s.waiting) == 0 || !s.goesLast(now, s.waiting[0]) {
+		return false
+	}
+	return 2*free <= usable && s.comesWithin(now, s.CallTime()) >= 1
+}
+
 // fillFree makes up a call for one of the free servers: the one that suits the
 // first task that any of them suits.
 func (s *Scheduler) fillFree(now time.Time, free []*serverState, zones map[string]bool) *Call {
