--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -145,14 +145,6 @@
 	return backlog.Call + stageTurn
 }
 
-// crowdedTime is how long one stage of a service takes with the wait that there is now
-// for what is nearly due. What can't be in time at a later stage isn't made first at the
-// one before.
-func (j *job) crowdedTime(service string) time.Duration {
-	backlog, _ := j.core.options.Stages.Backlog(service)
-	return j.stageTime(service) + backlog.Waits.Before(backlog.Call+stageTurn+stageplan.PriorityTime(j.priority()))
-}
-
 // run makes all pieces, each stage as soon as those before it have ended, but
 // large results no sooner than they are of use.
 func (g *graph) run(ctx context.Context) error {
@@ -229,7 +221,7 @@
 func (g *graph) work(i int) stageplan.Work {
 	j := g.job
 	stage := j.route.Stages[i]
-	after := g.longest(g.depth[i]-1, j.crowdedTime) + expectedRead(j.Request) + j.core.engineDelay(j.route)
+	after := g.estimate(g.depth[i]-1) + expectedRead(j.Request) + j.core.engineDelay(j.route)
 	w := stageplan.Work{
 		Service:     stage.Service,
 		Request:     j.ID,
