--- a/internal/placing/book.go
+++ b/internal/placing/book.go
@@ -26,20 +26,17 @@
 	// Overhead is what an idle engine adds before the first event.
 	Overhead = 20 * time.Millisecond
 	// rereadCost is the time that reading one shared token again is weighed as,
-	// beside the reading itself: the platform prices 10,000 of them like one
-	// lookup, and an engine reads them in 170 ms.
+	// beside the reading itself.
 	rereadCost = 40 * time.Microsecond
 	// crossCost is the time that a megabyte of inputs from another zone is
-	// weighed as; the platform prices 30 of them like one lookup.
+	// weighed as.
 	crossCost = 30 * time.Millisecond
 	// warmFor is how long a shared part is taken to stay in an engine: it has
 	// room for what it reads in about a minute. warmMost bounds the parts that
 	// are remembered.
 	warmFor  = 30 * time.Second
 	warmMost = 8192
-	// lateCost is the time that a first event after its objective is weighed as: a
-	// long prompt in time is worth 2.9 lookups more than a late one, and reading
-	// its 13,300 shared tokens again costs 1.3, for which 530 ms stand.
+	// lateCost is the time that a first event after its objective is weighed as.
 	lateCost = 1200 * time.Millisecond
 	// homeStep is what being one place further down the prompt's order by
 	// rendezvous hashing costs, so that an owner which knows nothing yet finds
@@ -52,8 +49,7 @@
 	youngDoubt = 0.3
 	youngFor   = 20 * time.Second
 	// homesLeast is the fewest engines that keep a first shared part, and homesShare
-	// the share of the pool that may: four engines of 160 were the homes of 2.5 in
-	// 10 prompts of a kind with four first parts, and others stood idle.
+	// the share of the pool that may, so that a kind with few first parts uses all.
 	homesLeast = 4
 	homesShare = 0.25
 	// ranksMost is how many places count.
--- a/internal/placing/copy.go
+++ b/internal/placing/copy.go
@@ -7,11 +7,9 @@
 
 const (
 	// copyPrice is the time that copying a gigabyte between engines is weighed
-	// as, beside the copying: the platform prices it like reading 1,450 tokens
-	// again.
+	// as, beside the copying.
 	copyPrice = 58 * time.Millisecond
-	// copyLeast is the fewest tokens that are worth a copy: they take 17 ms to
-	// read.
+	// copyLeast is the fewest tokens that are worth a copy.
 	copyLeast = 1000
 	// copySetup is what a copy takes beside the bytes.
 	copySetup = 4 * time.Millisecond
--- a/internal/placing/shard.go
+++ b/internal/placing/shard.go
@@ -6,8 +6,7 @@
 import "github.com/cespare/xxhash/v2"
 
 // shardSize is the most engines that one host places prompts on. The more, the
-// better load spreads, and the more its owner has to do: with 160 engines two
-// owners have some 500 prompts a second each in a burst, at 0.1 ms a prompt.
+// better load spreads, and the more its owner has to do.
 const shardSize = 96
 
 // Shards is how many shards a pool of so many engines has.
@@ -20,9 +19,8 @@
 	return int(xxhash.Sum64String(instance) % uint64(max(shards, 1)))
 }
 
-// OfPrompt returns the shard of a prompt, by all its shared parts: a kind of
-// prompt with four first parts that was divided by those reached 49 of 160
-// engines. One that shares nothing goes by its size, which is as good as any.
+// OfPrompt returns the shard of a prompt, by all its shared parts: those
+// of a kind with few first parts would reach few engines else. One that shares nothing goes by its size, which is as good as any.
 func OfPrompt(p Prompt, shards int) int {
 	hash := p.Shared
 	if hash == 0 {
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -84,14 +84,12 @@
 }
 
 // firstMost is how long after its start a host keeps requests until it has a
-// configuration and backend servers. Hosts that all came back at once had them 0.1 to
-// 0.5 s after they took the first connections, and 50 callers whom they refused came
-// back a second later, when it was too late.
+// configuration and backend servers. Hosts that all come back at once take connections
+// before that, and callers whom they refused would come back too late.
 const firstMost = time.Second
 
 // heardMost is how long after its start a host keeps requests until it has heard under
-// which ones servers end, with its first heartbeat. In 3 of 120 plays in which six hosts
-// started anew, one sent such a request on before it knew, and in none of 60 so.
+// which ones servers end, with its first heartbeat; until then it might send one on.
 const heardMost = 300 * time.Millisecond
 
 // routesMost bounds the routes that something is remembered of.
--- a/internal/relay/generate.go
+++ b/internal/relay/generate.go
@@ -22,9 +22,8 @@
 	// their results were gone.
 	remakesMost = 2
 	copyBuffer  = 4 << 10
-	// homeTokens is how many shared tokens tie a prompt to its home engine: to
-	// read 2,000 again takes 33 ms, about what one large result from another
-	// zone is weighed as.
+	// homeTokens is how many shared tokens tie a prompt to its home engine:
+	// to read so many again is weighed like one large result from another zone.
 	homeTokens = 2000
 )
 
--- a/internal/relay/rest.go
+++ b/internal/relay/rest.go
@@ -14,8 +14,7 @@
 
 // awaitRest waits while all servers that might serve the request rest, as long as it can be
 // in time after that, where an answer takes about need. It returns the final answer where it
-// can't. With three in ten sends turned away for 0.3 s, 32 in 100 callers were refused when
-// all were told at once, and 13 so (TestShortRestsAreWaitedFor in platform/standin).
+// can't. Callers told of a short rest at once would come back later than it takes.
 func (j *job) awaitRest(ctx context.Context, need time.Duration) error {
 	for {
 		rest := j.core.servers.restLeft(j.service.Name, j.homes, j.tried)
--- a/internal/relay/span.go
+++ b/internal/relay/span.go
@@ -97,8 +97,7 @@
 // longest returns the most that a request may take from its arrival and from its
 // send, whose answer has at most so many events, or a number that is not known
 // where that is 0. It reports false where none of its route was seen. The longest
-// stream seen says little of the next: by it, 5 of 40 days of stops cut a stream
-// that was taken, 250 ms before the end.
+// stream seen says little of the next.
 func (s *spans) longest(route string, events int) (arrived, sent time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/relay/watchdog.go
+++ b/internal/relay/watchdog.go
@@ -28,8 +28,7 @@
 
 // tellOverdue tells the engine's owner when the first event is overdue, unless the
 // timer that it returns is stopped. On a connection that had rested the silence may
-// be the connection's: with these told of too, prompts were sent on to engines over
-// further silent connections, and 5 of 188 failed, not 0 or 1.
+// be the connection's, and prompts sent on might meet further silent ones.
 func (s *stream) tellOverdue(engine Server) *time.Timer {
 	s.overdue.Store(false)
 	j := s.job
--- a/internal/stagepool/group.go
+++ b/internal/stagepool/group.go
@@ -39,8 +39,8 @@
 
 const (
 	// shardSize is the most servers that one host owns together: with all of
-	// them at hand, work waits least for a free one, and calls are fullest. At
-	// 18 servers an owner sends some 0.6 MB/s.
+	// them at hand, work waits least for a free one, and calls are fullest; their
+	// owner sends all of it.
 	shardSize = 24
 	// aliveAfter is when a host that does not answer is asked whether it works,
 	// and aliveEvery how often it is asked again: about one call.
