--- a/internal/stageplan/aside.go
+++ b/internal/stageplan/aside.go
@@ -4,15 +4,11 @@
 package stageplan
 
 import (
+	"container/heap"
 	"math"
-	"slices"
 	"time"
 )
 
-// costStep is how many times the pieces of a task weigh for each priority that it is
-// less urgent.
-const costStep = 2.0
-
 // The load pattern: for some seconds more comes than a pool makes, of urgent work and
 // of work that can wait, in tasks of one piece to ten. Served by what is due first, all
 // of it ends just too late. With some of it set aside the rest is in time.
@@ -23,23 +19,24 @@
 func (s *Scheduler) setAside(now time.Time, usable []*serverState) bool {
 	turn := s.turn(now, usable)
 	rate := s.rate(now, len(usable))
-	var taken []*Task
+	slowest := now.Add(s.CallTime() + lateMargin)
+	var taken dearest
 	ahead := 0
 	found := false
 	for _, t := range s.waiting {
-		if t.holdsRoom() || s.late(now, t) {
+		if t.last || t.holdsRoom() {
 			continue
 		}
-		taken = append(taken, t)
-		if !s.tooLate(now, t, turn+seconds(float64(ahead)/rate)) {
-			ahead += len(t.pending)
+		heap.Push(&taken, t)
+		ahead += len(t.pending)
+		wait := turn + seconds(float64(ahead-len(t.pending))/rate)
+		if !slowest.Add(wait).After(t.Latest) {
 			continue
 		}
 		found = true
-		dearest := dearestOf(taken)
-		taken[dearest].aside = true
-		ahead += len(t.pending) - len(taken[dearest].pending)
-		taken = slices.Delete(taken, dearest, dearest+1)
+		dear := heap.Pop(&taken).(*Task) //nolint:forcetypeassert // It has nothing else.
+		dear.last = true
+		ahead -= len(dear.pending)
 	}
 	return found
 }
@@ -49,20 +46,32 @@
 	return now.Add(wait + s.CallTime() + lateMargin).After(t.Latest)
 }
 
-// dearestOf returns the position of the task that takes most of the pool for what it
-// is worth; of equal ones that which is due first, since it has least time for what
-// comes after.
-func dearestOf(tasks []*Task) int {
-	dearest := 0
-	for i, t := range tasks {
-		if t.cost() > tasks[dearest].cost() {
-			dearest = i
-		}
+// dearest is a heap of tasks: first that which takes most of the pool for what it is
+// worth, of equal ones that which is due first, since it has least time for what comes
+// after.
+type dearest []*Task
+
+func (d dearest) Len() int      { return len(d) }
+func (d dearest) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d dearest) Less(i, j int) bool {
+	if a, b := d[i].cost(), d[j].cost(); a != b {
+		return a > b
 	}
-	return dearest
+	return d[i].due.Before(d[j].due)
+}
+
+// Push adds a *Task.
+func (d *dearest) Push(t any) { *d = append(*d, t.(*Task)) } //nolint:forcetypeassert // It has nothing else.
+
+// Pop takes the last *Task off.
+func (d *dearest) Pop() any {
+	last := len(*d) - 1
+	t := (*d)[last]
+	*d = (*d)[:last]
+	return t
 }
 
-// cost is what a task takes of a pool, the more the less urgent it is.
+// cost is what a task takes of a pool, twice for each priority that it is less urgent.
 func (t *Task) cost() float64 {
-	return float64(len(t.pending)) * math.Pow(costStep, float64(t.Priority))
+	return math.Ldexp(float64(len(t.pending)), t.Priority)
 }
--- a/internal/stageplan/aside_test.go
+++ b/internal/stageplan/aside_test.go
@@ -105,3 +105,26 @@
 		assert.Equal(t, calls, c.calls, "others come in time: %v", c.comes)
 	}
 }
+
+// BenchmarkNextInACrowd looks for the next call while 500 tasks wait and 24 servers work.
+func BenchmarkNextInACrowd(b *testing.B) {
+	var servers []stageplan.Server
+	for i := range 24 {
+		servers = append(servers, server(i+1, string(rune('a'+i%3))))
+	}
+	s := newScheduler(spec, servers...)
+	for i := range 24 {
+		s.Add(start, due(fmt.Sprint("running", i), 8, 0, time.Second))
+	}
+	for {
+		if _, ok := s.Next(start); !ok {
+			break
+		}
+	}
+	for i := range 500 {
+		s.Add(start, due(fmt.Sprint(i), 1+i%8, i%3, time.Duration(300+i)*ms))
+	}
+	for b.Loop() {
+		s.Next(start)
+	}
+}
--- a/internal/stageplan/flow.go
+++ b/internal/stageplan/flow.go
@@ -53,7 +53,7 @@
 // made, and those that will come and go before it. What is late waits for all
 // that comes in time.
 func (s *Scheduler) reach(now time.Time, t *Task, turn time.Duration, rate float64, ahead int) time.Duration {
-	if s.goesLast(now, t) {
+	if t.last {
 		return s.reachLate(now, t, turn, rate, ahead)
 	}
 	due := t.rank().Sub(now)
--- a/internal/stageplan/home.go
+++ b/internal/stageplan/home.go
@@ -30,7 +30,7 @@
 		}
 		calls := q.ahead / (s.spec.Size * q.servers)
 		wait := q.soonest + time.Duration(calls)*s.CallTime()
-		t.leavesZone = !s.goesLast(now, t) && s.tooLate(now, t, wait)
+		t.leavesZone = !t.last && s.tooLate(now, t, wait)
 		if !t.leavesZone {
 			q.ahead += len(t.pending)
 		}
--- a/internal/stageplan/order.go
+++ b/internal/stageplan/order.go
@@ -44,7 +44,7 @@
 func (s *Scheduler) ahead(now time.Time) [len(dueSteps)]int {
 	var ahead [len(dueSteps)]int
 	for _, t := range s.waiting {
-		if s.goesLast(now, t) {
+		if t.last || s.late(now, t) {
 			continue
 		}
 		due := t.rank().Sub(now)
@@ -130,32 +130,27 @@
 // first; what is set aside goes with what is late.
 func (s *Scheduler) order(now time.Time, usable []*serverState) {
 	for _, t := range s.waiting {
-		t.aside = false
+		t.last = s.late(now, t)
+		t.due = t.rank()
 	}
-	s.sort(now)
+	s.sort()
 	if s.setAside(now, usable) {
-		s.sort(now)
+		s.sort()
 	}
 }
 
-func (s *Scheduler) sort(now time.Time) {
+func (s *Scheduler) sort() {
 	slices.SortStableFunc(s.waiting, func(a, b *Task) int {
-		lateA, lateB := s.goesLast(now, a), s.goesLast(now, b)
-		if lateA != lateB {
-			if lateA {
+		if a.last != b.last {
+			if a.last {
 				return 1
 			}
 			return -1
 		}
-		return a.rank().Compare(b.rank())
+		return a.due.Compare(b.due)
 	})
 }
 
-// goesLast reports whether a task goes after all that can be in time.
-func (s *Scheduler) goesLast(now time.Time, t *Task) bool {
-	return t.aside || s.late(now, t)
-}
-
 // rank orders tasks: by when they must end, with some time for each priority.
 func (t *Task) rank() time.Time {
 	return t.Latest.Add(PriorityTime(t.Priority))
--- a/internal/stageplan/scheduler.go
+++ b/internal/stageplan/scheduler.go
@@ -217,7 +217,7 @@
 // keepsFree reports whether what is late waits although servers are free: half of them
 // are kept for what comes and can be in time, which would wait for a whole call.
 func (s *Scheduler) keepsFree(now time.Time, free, usable int) bool {
-	if len(s.waiting) == 0 || !s.goesLast(now, s.waiting[0]) {
+	if len(s.waiting) == 0 || !s.waiting[0].last {
 		return false
 	}
 	return 2*free <= usable && s.comesWithin(now, s.CallTime()) >= 1
--- a/internal/stageplan/task.go
+++ b/internal/stageplan/task.go
@@ -16,9 +16,11 @@
 	tries []int
 	// missing is how many pieces have no result.
 	missing int
-	// aside says that it is made last so that others are in time, leavesZone that it
-	// may be made in any zone; both are found anew before each call.
-	aside, leavesZone bool
+	// last says that it goes after what can be in time: it is late, or set aside so that
+	// others aren't. leavesZone says that it may be made in any zone, due orders it among
+	// those alike. All are found anew before each call.
+	last, leavesZone bool
+	due              time.Time
 
 	failure Failure
 	ended   bool
