--- a/internal/enginepool/group.go
+++ b/internal/enginepool/group.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/wingvale/wingvale/internal/enginepool/enginepb"
+	"github.com/wingvale/wingvale/internal/listed"
 	"github.com/wingvale/wingvale/internal/owner"
 	"github.com/wingvale/wingvale/internal/placing"
 )
@@ -45,66 +47,143 @@
 	ctx     context.Context
 
 	mu sync.Mutex
-	// shards has the engines of each shard; counts how many shards a service
-	// has.
-	shards map[string][]placing.Engine
-	counts map[string]int
+	// services has the engines of each, divided into shards.
+	services map[string]*owner.Divided[string, *placing.Engine]
 	// books has those of this host.
-	books map[string]*placing.Book
+	books map[shard]*placing.Book
 	// reports wait for the next question to the owner of their shard.
-	reports map[string][]placing.Report
+	reports map[shard][]placing.Report
 }
 
+// shard names the engines of a service that one host places prompts on.
+type shard struct {
+	service string
+	// number is below the count of the service's shards.
+	number int
+}
+
+// String names the shard to other hosts; the first is named like its service, which may
+// have no other.
+func (s shard) String() string {
+	if s.number == 0 {
+		return s.service
+	}
+	return s.service + shardMark + strconv.Itoa(s.number)
+}
+
+// shardMark stands between a service and the number of a shard, in their name.
+const shardMark = "#"
+
 // New returns a group without engines whose calls end with ctx.
 func New(ctx context.Context, options Options) *Group {
 	return &Group{
-		options: options,
-		ctx:     ctx,
-		shards:  make(map[string][]placing.Engine),
-		counts:  make(map[string]int),
-		books:   make(map[string]*placing.Book),
-		reports: make(map[string][]placing.Report),
+		options:  options,
+		ctx:      ctx,
+		services: make(map[string]*owner.Divided[string, *placing.Engine]),
+		books:    make(map[shard]*placing.Book),
+		reports:  make(map[shard][]placing.Report),
+	}
+}
+
+// Configure replaces the engines of all services, where a configuration says other
+// things of them.
+func (g *Group) Configure(changes []listed.Change[placing.Engine]) {
+	g.mu.Lock()
+	clear(g.services)
+	g.mu.Unlock()
+	g.Change(changes)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for s, b := range g.books {
+		b.SetEngines(g.enginesOf(s))
 	}
 }
 
-// Configure replaces the engines of all services.
-func (g *Group) Configure(services map[string][]placing.Engine) {
+// Change takes in which engines were added, changed and removed. What it is given is
+// shared and must not be changed.
+func (g *Group) Change(changes []listed.Change[placing.Engine]) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.shards = make(map[string][]placing.Engine)
-	g.counts = make(map[string]int, len(services))
-	for service, engines := range services {
-		count := placing.Shards(len(engines))
-		g.counts[service] = count
-		for _, e := range engines {
-			shard := shardName(service, placing.OfEngine(e.Instance, count), count)
-			g.shards[shard] = append(g.shards[shard], e)
+	touched := make(map[shard]bool)
+	for _, c := range changes {
+		engines := g.engines(c.Service)
+		instance := ""
+		if c.New != nil {
+			instance = c.New.Instance
+			engines.Put(instance, c.New)
+		} else {
+			instance = c.Old.Instance
+			engines.Remove(instance)
+		}
+		touched[shard{service: c.Service, number: engines.Of(instance)}] = true
+	}
+	divided := make(map[string]bool)
+	for service, engines := range g.services {
+		divided[service] = engines.Divide()
+	}
+	for s, b := range g.books {
+		if touched[s] || divided[s.service] {
+			b.SetEngines(g.enginesOf(s))
 		}
 	}
-	for shard, b := range g.books {
-		b.SetEngines(g.shards[shard])
+}
+
+// engines returns those of a service, which may be none yet. The mutex must be held.
+func (g *Group) engines(service string) *owner.Divided[string, *placing.Engine] {
+	engines := g.services[service]
+	if engines == nil {
+		engines = placing.NewShards[*placing.Engine]()
+		g.services[service] = engines
+	}
+	return engines
+}
+
+// enginesOf returns the engines of a shard. The mutex must be held.
+func (g *Group) enginesOf(s shard) []placing.Engine {
+	part := g.engines(s.service).Part(s.number)
+	list := make([]placing.Engine, 0, len(part))
+	for _, e := range part {
+		list = append(list, *e)
 	}
+	return list
 }
 
-// shardName names a shard to other hosts; a pool with one is named like its
-// service.
-func shardName(service string, shard, count int) string {
-	if count <= 1 {
-		return service
+// ofPrompt returns the shard of a prompt. The mutex must be held.
+func (g *Group) ofPrompt(service string, p placing.Prompt) shard {
+	return shard{service: service, number: placing.OfPrompt(p, g.engines(service).Parts())}
+}
+
+// ofEngine returns the shard of an engine. The mutex must be held.
+func (g *Group) ofEngine(service, instance string) shard {
+	return shard{service: service, number: g.engines(service).Of(instance)}
+}
+
+// shardNamed returns the shard that another host means. One that knows of more engines
+// may name a shard that there isn't yet: its prompts go to one that there is, rather than
+// being refused.
+func (g *Group) shardNamed(name string) shard {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at := strings.LastIndex(name, shardMark)
+	if _, whole := g.services[name]; whole || at < 0 {
+		return shard{service: name}
+	}
+	s := shard{service: name[:at]}
+	if number, err := strconv.Atoi(name[at+len(shardMark):]); err == nil && number > 0 {
+		s.number = number % g.engines(s.service).Parts()
 	}
-	return service + "#" + strconv.Itoa(shard)
+	return s
 }
 
 // Place asks the owner of the prompt's engines for the best one, or decides
 // itself where this host is the owner or no owner answers.
 func (g *Group) Place(ctx context.Context, service string, p placing.Prompt) placing.Place {
 	g.mu.Lock()
-	count := g.counts[service]
-	shard := shardName(service, placing.OfPrompt(p, count), count)
+	shard := g.ofPrompt(service, p)
 	reports := g.reports[shard]
 	delete(g.reports, shard)
 	g.mu.Unlock()
-	for _, peer := range g.options.Owners.Others(shard, ownersTried) {
+	for _, peer := range g.options.Owners.Others(shard.String(), ownersTried) {
 		place, err := g.ask(ctx, peer, shard, p, reports)
 		if err == nil {
 			return place
@@ -121,21 +200,21 @@
 }
 
 // book returns this host's book of a shard. The mutex must be held.
-func (g *Group) book(shard string) *placing.Book {
-	b := g.books[shard]
+func (g *Group) book(s shard) *placing.Book {
+	b := g.books[s]
 	if b == nil {
 		b = placing.NewBook()
-		b.SetEngines(g.shards[shard])
-		g.books[shard] = b
+		b.SetEngines(g.enginesOf(s))
+		g.books[s] = b
 	}
 	return b
 }
 
-func (g *Group) placeHere(shard string, p placing.Prompt, reports []placing.Report) placing.Place {
+func (g *Group) placeHere(s shard, p placing.Prompt, reports []placing.Report) placing.Place {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	b := g.book(shard)
+	b := g.book(s)
 	for _, r := range reports {
 		b.Report(now, r)
 	}
@@ -143,11 +222,11 @@
 }
 
 // reportHere takes reports in where this host places the prompts of a shard.
-func (g *Group) reportHere(shard string, reports []placing.Report) {
+func (g *Group) reportHere(s shard, reports []placing.Report) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	b := g.book(shard)
+	b := g.book(s)
 	for _, r := range reports {
 		b.Report(now, r)
 	}
@@ -157,14 +236,13 @@
 // a time that means something: what comes meanwhile would go there too.
 func (g *Group) Silent(service, instance string) {
 	g.mu.Lock()
-	count := g.counts[service]
-	shard := shardName(service, placing.OfEngine(instance, count), count)
+	shard := g.ofEngine(service, instance)
 	g.mu.Unlock()
 	reports := []placing.Report{{Instance: instance, Failed: true}}
-	for _, peer := range g.options.Owners.Others(shard, ownersTried) {
+	for _, peer := range g.options.Owners.Others(shard.String(), ownersTried) {
 		ctx, cancel := context.WithTimeout(g.ctx, placeFor)
 		client := enginepb.NewEnginesProtobufClient("http://"+peer.Control.String(), g.options.HTTP)
-		_, err := client.Report(ctx, &enginepb.ReportRequest{Service: shard, Reports: reportMessages(reports)})
+		_, err := client.Report(ctx, &enginepb.ReportRequest{Service: shard.String(), Reports: reportMessages(reports)})
 		cancel()
 		if err == nil || g.ctx.Err() != nil {
 			return
@@ -178,18 +256,17 @@
 func (g *Group) Ended(service string, r placing.Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	count := g.counts[service]
-	shard := shardName(service, placing.OfEngine(r.Instance, count), count)
+	shard := g.ofEngine(service, r.Instance)
 	if len(g.reports[shard]) < reportsMost {
 		g.reports[shard] = append(g.reports[shard], r)
 	}
 }
 
-func (g *Group) ask(ctx context.Context, peer owner.Peer, shard string, p placing.Prompt, reports []placing.Report) (placing.Place, error) {
+func (g *Group) ask(ctx context.Context, peer owner.Peer, s shard, p placing.Prompt, reports []placing.Report) (placing.Place, error) {
 	ctx, cancel := context.WithTimeout(ctx, placeFor)
 	defer cancel()
 	client := enginepb.NewEnginesProtobufClient("http://"+peer.Control.String(), g.options.HTTP)
-	reply, err := client.Place(ctx, promptMessage(shard, p, reports))
+	reply, err := client.Place(ctx, promptMessage(s.String(), p, reports))
 	if err != nil {
 		return placing.Place{}, err
 	}
@@ -228,7 +305,7 @@
 		Except:       in.GetExcept(),
 		Homes:        in.GetHomes(),
 	}
-	place := s.g.placeHere(in.GetService(), p, reportsOf(in.GetReports()))
+	place := s.g.placeHere(s.g.shardNamed(in.GetService()), p, reportsOf(in.GetReports()))
 	reply := &enginepb.PlaceReply{Instance: place.Instance, WaitMs: place.Wait.Milliseconds(), ExpectedMs: place.Expected.Milliseconds()}
 	if place.Source.IsValid() {
 		source, err := place.Source.MarshalBinary()
@@ -245,7 +322,7 @@
 	if len(in.GetReports()) > reportsMost {
 		return nil, twirp.InvalidArgumentError("reports", "too many")
 	}
-	s.g.reportHere(in.GetService(), reportsOf(in.GetReports()))
+	s.g.reportHere(s.g.shardNamed(in.GetService()), reportsOf(in.GetReports()))
 	return &enginepb.ReportReply{}, nil
 }
 
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -23,24 +23,23 @@
 // from the moment at which the host hears of it: what is on its way then has the
 // whole of the time that the operators allow.
 type evacuation struct {
-	// zones are those in force when it was last looked.
-	zones []string
+	// named are the zones in force when it was last looked.
+	named map[string]bool
 }
 
-// mark sets Evacuated on the servers of the zones that directives name.
-func (e *evacuation) mark(directives map[string]Directive, servers []relay.Server, log logrus.FieldLogger) {
+// mark takes in the zones that directives name, and reports whether they are others than
+// before.
+func (e *evacuation) mark(directives map[string]Directive, log logrus.FieldLogger) bool {
 	named := make(map[string]bool)
 	for _, d := range directives {
 		if d.Evacuated != "" {
 			named[d.Evacuated] = true
 		}
 	}
-	for i := range servers {
-		servers[i].Evacuated = named[servers[i].Zone]
+	if maps.Equal(named, e.named) {
+		return false
 	}
-	zones := slices.Sorted(maps.Keys(named))
-	if !slices.Equal(zones, e.zones) {
-		log.WithFields(logrus.Fields{"zones": zones, "before": e.zones}).Info("evacuated availability zones")
-	}
-	e.zones = zones
+	log.WithFields(logrus.Fields{"zones": slices.Sorted(maps.Keys(named)), "before": slices.Sorted(maps.Keys(e.named))}).Info("evacuated availability zones")
+	e.named = named
+	return true
 }
--- a/internal/gateway/members.go
+++ b/internal/gateway/members.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -23,18 +24,45 @@
 	outageTail = 4 * time.Second
 )
 
-// members turns the published backend servers into those to use: entries that
-// lapsed because the publisher was away are kept for a while.
+// publishedServer is what is published under one key now.
+type publishedServer struct {
+	key string
+	// server is nil where the key has no entry. It is shared and never changes.
+	server   *relay.Server
+	revision uint64
+}
+
+// member is one server to use.
+type member struct {
+	// key named it last.
+	key string
+	// listed is as it was published at a revision. It is shared and never changes.
+	listed   *relay.Server
+	revision uint64
+	// coldUntil is until when it counts as cold; zero is not.
+	coldUntil time.Time
+	// until is how long it is kept without an entry; zero while it has one.
+	until time.Time
+	// used is what was handed on of it last, nil before; only the refresh touches it.
+	used *relay.Server
+}
+
+// members turns the published backend servers into those to use, a change at a time:
+// entries that lapsed because the publisher was away are kept for a while. It is safe for
+// concurrent use.
 type members struct {
 	mu sync.Mutex
-	// used are the servers given out last, by instance.
-	used map[string]relay.Server
-	// told has the revision of each server's entry in used.
-	told map[string]uint64
-	// listedAs has the instance that each key named last.
-	listedAs map[string]string
-	// lapsed has until when servers without an entry are kept.
-	lapsed map[string]time.Time
+	// used are the servers to use, by instance.
+	used map[string]*member
+	// byKey has the server that each key names, lapsed ones included.
+	byKey map[string]*member
+	// unusable are the keys that name no server.
+	unusable map[string]bool
+	// lapsed are the members without an entry.
+	lapsed map[string]*member
+	// touched are the members that the next refresh is to look at, by instance; those
+	// that are gone are not in used any more.
+	touched map[string]*member
 	// away says that the publisher does not answer; backAt is when it last came
 	// back.
 	away   bool
@@ -43,8 +71,11 @@
 
 func newMembers() *members {
 	return &members{
-		used: make(map[string]relay.Server), told: make(map[string]uint64),
-		listedAs: make(map[string]string), lapsed: make(map[string]time.Time),
+		used:     make(map[string]*member),
+		byKey:    make(map[string]*member),
+		unusable: make(map[string]bool),
+		lapsed:   make(map[string]*member),
+		touched:  make(map[string]*member),
 	}
 }
 
@@ -65,8 +96,8 @@
 func (m *members) due(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, until := range m.lapsed {
-		if now.After(until) {
+	for _, k := range m.lapsed {
+		if now.After(k.until) {
 			return true
 		}
 	}
@@ -78,100 +109,174 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	soonest := most
-	for _, until := range m.lapsed {
-		soonest = min(soonest, max(until.Sub(now), 0)+dueSlack)
+	for _, k := range m.lapsed {
+		soonest = min(soonest, max(k.until.Sub(now), 0)+dueSlack)
 	}
 	return soonest
 }
 
-// merge returns the servers to use. Listed has them by key, of which revision
-// returns when it changed last.
-func (m *members) merge(now time.Time, listed map[string]relay.Server, revision func(key string) uint64, log logrus.FieldLogger) []relay.Server {
+// lists reports whether a server is used.
+func (m *members) lists(instance string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	used := make(map[string]relay.Server, len(listed))
-	told := make(map[string]uint64, len(listed))
-	replaced := m.replaced(listed, log)
-	for key, s := range listed {
-		if s.Unusable != "" {
-			continue
-		}
-		told[s.Instance] = revision(key)
-		s.ColdUntil = m.coldUntil(now, s, told[s.Instance])
-		used[s.Instance] = s
-		delete(m.lapsed, s.Instance)
-		if old, ok := m.used[s.Instance]; !ok || old.Leaving != s.Leaving {
-			log.WithFields(logrus.Fields{"server": s.Instance, "service": s.Service, "address": s.Address, "leaving": s.Leaving}).Info("backend server listed")
+	return m.used[instance] != nil
+}
+
+// all returns all servers to use that were handed on, by address.
+func (m *members) all() []*member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make([]*member, 0, len(m.used))
+	for _, k := range m.used {
+		if k.used != nil {
+			all = append(all, k)
 		}
 	}
-	for instance, s := range m.used {
-		if _, ok := used[instance]; ok {
-			continue
-		}
-		if replaced[instance] {
-			delete(m.lapsed, instance)
-			log.WithFields(logrus.Fields{"server": instance, "service": s.Service}).Info("backend server replaced")
-			continue
-		}
-		until, waiting := m.lapsed[instance]
-		recent := m.away || !m.backAt.IsZero() && now.Sub(m.backAt) < outageTail
+	slices.SortFunc(all, byAddress)
+	return all
+}
+
+// touch makes the next refresh look at a server.
+func (m *members) touch(instance string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if k := m.used[instance]; k != nil {
+		m.touched[instance] = k
+	}
+}
+
+// touchAll makes the next refresh look at all servers.
+func (m *members) touchAll() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.Copy(m.touched, m.used)
+}
+
+// take takes in what changed, lets go of what has lapsed for long, and returns the
+// servers that are to be looked at, and of them those that are gone. It forgets them:
+// each is returned once.
+func (m *members) take(now time.Time, changed []publishedServer, log logrus.FieldLogger) (touched, gone []*member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range changed {
 		switch {
-		case waiting && now.Before(until):
-			used[instance] = s
-		case !waiting && recent && !s.Leaving:
-			m.lapsed[instance] = now.Add(lapsedFor)
-			used[instance] = s
-			log.WithFields(logrus.Fields{"server": instance, "service": s.Service, "kept_ms": lapsedFor.Milliseconds()}).Info("backend server lapsed")
+		case p.server == nil:
+			m.missing(now, p.key, log)
+		case p.server.Unusable != "":
+			m.noServer(p, log)
 		default:
-			delete(m.lapsed, instance)
-			log.WithFields(logrus.Fields{"server": instance, "service": s.Service}).Info("backend server gone")
+			m.list(now, p, log)
+		}
+	}
+	for _, k := range m.lapsed {
+		if !now.Before(k.until) {
+			m.drop(k, "backend server gone", log)
 		}
 	}
-	m.used, m.told = used, told
-	list := make([]relay.Server, 0, len(used))
-	for _, s := range used {
-		list = append(list, s)
+	for instance, k := range m.touched {
+		if m.used[instance] == k {
+			touched = append(touched, k)
+		} else {
+			gone = append(gone, k)
+		}
 	}
-	slices.SortFunc(list, func(a, b relay.Server) int { return a.Address.Compare(b.Address) })
-	return list
+	clear(m.touched)
+	slices.SortFunc(touched, byAddress)
+	slices.SortFunc(gone, byAddress)
+	return touched, gone
 }
 
-// replaced returns the instances whose keys name others now, or none: they have ended,
-// and unlike one whose entry is missing they don't come back.
-func (m *members) replaced(listed map[string]relay.Server, log logrus.FieldLogger) map[string]bool {
-	replaced := make(map[string]bool)
-	for key, instance := range m.listedAs {
-		if now, ok := listed[key]; ok && now.Instance != instance {
-			replaced[instance] = true
-		}
+// byAddress orders members, so that what is handed on doesn't depend on chance.
+func byAddress(a, b *member) int {
+	return a.listed.Address.Compare(b.listed.Address)
+}
+
+// list takes in that a key names a server.
+func (m *members) list(now time.Time, p publishedServer, log logrus.FieldLogger) {
+	delete(m.unusable, p.key)
+	m.replace(p.key, p.server.Instance, log)
+	s := p.server
+	old := m.used[s.Instance]
+	cold := coldUntil(now, s, old, p.revision)
+	if old == nil || old.listed.Leaving != s.Leaving {
+		log.WithFields(logrus.Fields{"server": s.Instance, "service": s.Service, "address": s.Address, "leaving": s.Leaving}).Info("backend server listed")
 	}
-	names := make(map[string]string, len(listed))
-	for key, s := range listed {
-		names[key] = s.Instance
-		if before, ok := m.listedAs[key]; s.Unusable != "" && (!ok || before != "") {
-			log.WithFields(logrus.Fields{"key": key, "reason": s.Unusable}).Warn("an entry names no backend server")
+	if old == nil {
+		old = &member{}
+		if dropped := m.touched[s.Instance]; dropped != nil {
+			old.used = dropped.used
 		}
+		m.used[s.Instance] = old
 	}
-	for key, instance := range m.listedAs {
-		// A key that is missing may come back for the same run of its server.
-		_, listed := names[key]
-		if _, used := m.used[instance]; used && !listed {
-			names[key] = instance
-		}
+	old.key, old.listed, old.revision, old.coldUntil, old.until = p.key, s, p.revision, cold, time.Time{}
+	m.byKey[p.key] = old
+	m.touched[s.Instance] = old
+	delete(m.lapsed, s.Instance)
+}
+
+// noServer takes in that a key names no server any more.
+func (m *members) noServer(p publishedServer, log logrus.FieldLogger) {
+	if !m.unusable[p.key] {
+		m.unusable[p.key] = true
+		log.WithFields(logrus.Fields{"key": p.key, "reason": p.server.Unusable}).Warn("an entry names no backend server")
+	}
+	m.replace(p.key, "", log)
+}
+
+// replace drops the server that a key named if it names another now, or none: it has
+// ended, and unlike one whose entry is missing it doesn't come back.
+func (m *members) replace(key, instance string, log logrus.FieldLogger) {
+	if before := m.byKey[key]; before != nil && before.key == key && before.listed.Instance != instance {
+		m.drop(before, "backend server replaced", log)
+	}
+}
+
+// missing takes in that a key has no entry. Its server may come back for a while after an
+// outage of the publisher.
+func (m *members) missing(now time.Time, key string, log logrus.FieldLogger) {
+	delete(m.unusable, key)
+	k := m.byKey[key]
+	switch {
+	case k == nil:
+		return
+	case k.key != key:
+		// Another key names the server by now.
+		delete(m.byKey, key)
+		return
+	case !k.until.IsZero():
+		return
+	}
+	recent := m.away || !m.backAt.IsZero() && now.Sub(m.backAt) < outageTail
+	if !recent || k.listed.Leaving {
+		m.drop(k, "backend server gone", log)
+		return
+	}
+	k.until = now.Add(lapsedFor)
+	m.lapsed[k.listed.Instance] = k
+	log.WithFields(logrus.Fields{"server": k.listed.Instance, "service": k.listed.Service, "kept_ms": lapsedFor.Milliseconds()}).Info("backend server lapsed")
+}
+
+// drop lets go of a server.
+func (m *members) drop(k *member, why string, log logrus.FieldLogger) {
+	instance := k.listed.Instance
+	delete(m.used, instance)
+	delete(m.lapsed, instance)
+	if m.byKey[k.key] == k {
+		delete(m.byKey, k.key)
 	}
-	m.listedAs = names
-	return replaced
+	m.touched[instance] = k
+	log.WithFields(logrus.Fields{"server": instance, "service": k.listed.Service}).Info(why)
 }
 
 // coldUntil is until when a server counts as cold whose entry changed last at a
 // revision: what it says counts from when the node hears of it, which is later than
 // when it was written, so that no server is taken for warm too soon.
-func (m *members) coldUntil(now time.Time, s relay.Server, revision uint64) time.Time {
+func coldUntil(now time.Time, s *relay.Server, old *member, revision uint64) time.Time {
 	if s.ColdLeft == 0 {
 		return time.Time{}
 	}
-	if old, ok := m.used[s.Instance]; ok && m.told[s.Instance] == revision {
-		return old.ColdUntil
+	if old != nil && old.revision == revision {
+		return old.coldUntil
 	}
 	return now.Add(s.ColdLeft)
 }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -63,7 +63,7 @@
 	log      logrus.FieldLogger
 
 	directives *published.Store[Directive]
-	listed     *published.Store[relay.Server]
+	listed     *published.Store[*relay.Server]
 	view       *fleet.View
 	gossip     *peer.Gossip
 	watchers   []*publisher.Watcher
@@ -77,9 +77,12 @@
 	members    *members
 	hosts      *hosts
 	evacuation evacuation
-	confirm    *confirmer
-	reading    *reading
-	random     *rand.Rand
+	// kinds is what the configuration in force says of the services; only refresh
+	// touches it.
+	kinds   kinds
+	confirm *confirmer
+	reading *reading
+	random  *rand.Rand
 
 	refreshing sync.Mutex
 
@@ -113,7 +116,7 @@
 		settings:   s,
 		log:        o.Log,
 		directives: published.New(o.DecodeDirective),
-		listed:     published.New(o.DecodeServer),
+		listed:     published.New(sharedServer(o.DecodeServer)),
 		peers:      newPeerClient(o.Dial, o.Scope.SubScope("peer")),
 		backends:   exchange.NewPool(o.Dial),
 		random:     random,
@@ -157,6 +160,17 @@
 	return n
 }
 
+// sharedServer decodes servers that are shared from then on.
+func sharedServer(decode func(key string, data []byte) (relay.Server, error)) func(key string, data []byte) (*relay.Server, error) {
+	return func(key string, data []byte) (*relay.Server, error) {
+		s, err := decode(key, data)
+		if err != nil {
+			return nil, err
+		}
+		return &s, nil
+	}
+}
+
 // bytesPerMegabit are the bytes a second of a link of 1 Mbit/s.
 const bytesPerMegabit = 1e6 / 8
 
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -8,7 +8,6 @@
 
 	"github.com/wingvale/wingvale/internal/fleet"
 	"github.com/wingvale/wingvale/internal/notice"
-	"github.com/wingvale/wingvale/internal/relay"
 )
 
 // noticesStream keeps the chance by which rests end from that of the other parts.
@@ -35,6 +34,7 @@
 	if from == notice.SourceAnswer {
 		n.gossip.TellLeaving(fleet.LeavingServer{Address: s.Address, Instance: s.Instance})
 	}
+	n.members.touch(s.Instance)
 	n.refresh()
 }
 
@@ -42,18 +42,3 @@
 func (n *Node) peerTold(s fleet.LeavingServer) {
 	n.notices.Left(notice.Server{Instance: s.Instance, Address: s.Address}, notice.SourcePeer)
 }
-
-// markLeaving marks the servers that are known to leave, whatever their entries say now: an
-// entry may be older than an answer, or be written again by who knows less.
-func (n *Node) markLeaving(servers []relay.Server) {
-	instances := make([]string, 0, len(servers))
-	for i, s := range servers {
-		instances = append(instances, s.Instance)
-		if s.Leaving {
-			n.notices.Left(notice.Server{Instance: s.Instance, Address: s.Address}, notice.SourceList)
-			continue
-		}
-		servers[i].Leaving = n.notices.Leaving(s.Instance)
-	}
-	n.notices.Listed(instances)
-}
--- /dev/null
+++ b/internal/gateway/refresh_test.go
@@ -0,0 +1,151 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/wingvale/wingvale/internal/exchange"
+	"github.com/wingvale/wingvale/internal/gateway"
+	"github.com/wingvale/wingvale/internal/notice"
+	"github.com/wingvale/wingvale/internal/published"
+	"github.com/wingvale/wingvale/internal/relay"
+	"github.com/wingvale/wingvale/internal/settings"
+	"github.com/wingvale/wingvale/internal/stagepool"
+)
+
+const configurationKey = "configuration"
+
+// services has the shares of engines and stage servers in a deployment.
+var services = []string{"engine", "engine", "engine", "engine", "read", "board", "keys"}
+
+func decodeServer(_ string, data []byte) (relay.Server, error) {
+	var s relay.Server
+	err := json.Unmarshal(data, &s)
+	return s, err
+}
+
+func decodeDirective(string, []byte) (gateway.Directive, error) {
+	batch := &relay.Batch{Slots: 1, Size: 8, CallTime: 150 * time.Millisecond, PieceTime: 16 * time.Millisecond, Room: 41e6, Hold: 4 * time.Second}
+	catalog := relay.NewCatalog(1, nil, []relay.Service{
+		{Name: "engine", Engine: &relay.Engine{Slots: 64, Tokens: 560718}},
+		{Name: "read", Batch: batch}, {Name: "board", Batch: batch}, {Name: "keys", Batch: batch},
+	}, nil, relay.Limits{})
+	return gateway.Directive{Catalog: catalog}, nil
+}
+
+// newNode returns a node that isn't run, before so many backend servers.
+func newNode(servers int) *gateway.Node {
+	n := gateway.New(gateway.Options{
+		Settings:         settings.Gateway{Callers: netip.MustParseAddrPort("10.1.0.1:1"), Peer: netip.MustParseAddrPort("10.1.0.1:2"), Zone: "a"},
+		Log:              quiet(),
+		Scope:            tally.NoopScope,
+		ConfigurationKey: configurationKey,
+		DecodeDirective:  decodeDirective,
+		DecodeServer:     decodeServer,
+		StageDriver:      func(*exchange.Pool, *notice.Book) stagepool.Driver { return nil },
+		Boot:             func() time.Duration { return time.Second },
+	})
+	n.Offer(published.Entry{Key: configurationKey, Revision: 1, Data: []byte("{}")})
+	var entries []published.Entry
+	for i := range servers {
+		entries = append(entries, serverEntry(i, 1, false))
+	}
+	n.OfferServers(entries...)
+	return n
+}
+
+func serverEntry(i int, revision uint64, leaving bool) published.Entry {
+	data, err := json.Marshal(relay.Server{
+		Instance: fmt.Sprintf("server-%d", i), Service: services[i%len(services)], Zone: string(rune('a' + i%5)), Slots: 1, Leaving: leaving,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(i >> 8), byte(i)}), 80),
+	})
+	if err != nil {
+		panic(err)
+	}
+	return published.Entry{Key: fmt.Sprintf("servers/server-%d", i), Revision: revision, Data: data}
+}
+
+// When one server changed, every host copied, merged and sorted all of them, and
+// configured all pools and shards anew.
+func TestAChangeOfOneServerDoesNotCostWorkForAll(t *testing.T) {
+	bytesOf := func(servers int) uint64 {
+		n := newNode(servers)
+		revision := uint64(1)
+		change := func() {
+			revision++
+			n.OfferServers(serverEntry(3, revision, revision%2 == 0))
+		}
+		change()
+		const rounds = 20
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for range rounds {
+			change()
+		}
+		runtime.ReadMemStats(&after)
+		return (after.TotalAlloc - before.TotalAlloc) / rounds
+	}
+	few, many := bytesOf(300), bytesOf(6000)
+	assert.Assert(t, many < 50<<10, "%d bytes with 6000 servers", many)
+	assert.Assert(t, many < 2*few+4<<10, "%d bytes with 6000 servers, %d with 300", many, few)
+}
+
+func TestChangesReachTheCore(t *testing.T) {
+	n := newNode(300)
+	assert.Equal(t, len(n.Core().Servers()), 300)
+	leaving := func() int {
+		count := 0
+		for _, s := range n.Core().Servers() {
+			if s.Leaving {
+				count++
+			}
+		}
+		return count
+	}
+	n.OfferServers(serverEntry(3, 2, true))
+	assert.Equal(t, leaving(), 1)
+	n.OfferServers(published.Entry{Key: "servers/server-3", Revision: 3, Removed: true}, serverEntry(300, 4, false))
+	assert.Equal(t, leaving(), 0)
+	assert.Equal(t, len(n.Core().Servers()), 300)
+}
+
+func BenchmarkAChangeOfOneServer(b *testing.B) {
+	for _, servers := range []int{300, 6000, 12000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			n := newNode(servers)
+			b.ReportAllocs()
+			for i := range b.N {
+				n.OfferServers(serverEntry(i%servers, uint64(i+2), i/servers%2 == 0))
+			}
+		})
+	}
+}
+
+// BenchmarkState tells what a host holds of each backend server.
+func BenchmarkState(b *testing.B) {
+	for _, servers := range []int{300, 6000, 12000} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				n := newNode(servers)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(n)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(servers), "bytes/server")
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+		})
+	}
+}
--- a/internal/gateway/upkeep.go
+++ b/internal/gateway/upkeep.go
@@ -48,6 +48,7 @@
 			pruned = now
 			n.backends.Prune(now)
 			n.suspects.Forget()
+			n.notices.Listed(n.members.lists)
 			n.notices.Forget()
 		}
 		timer.Reset(n.members.dueIn(time.Now(), tickEvery))
@@ -83,44 +84,3 @@
 func (n *Node) paused() bool {
 	return n.gap() > pausedAfter
 }
-
-// refresh brings the core and the stage pools in line with what is published.
-func (n *Node) refresh() {
-	// Watchers, peers and the upkeep all call this; what one has read must not
-	// be set after what a later one has.
-	n.refreshing.Lock()
-	defer n.refreshing.Unlock()
-	if directive, ok := n.directives.Get(n.options.ConfigurationKey); ok {
-		catalog := directive.Catalog
-		if old := n.core.Catalog(); old == nil || old.Version < catalog.Version {
-			n.log.WithFields(logrus.Fields{
-				"version":  catalog.Version,
-				"revision": n.directives.Revision(n.options.ConfigurationKey),
-				"bytes":    sizeOf(n.directives.Entries(n.options.ConfigurationKey)),
-			}).Info("configuration in force")
-		}
-		n.core.SetCatalog(catalog)
-	}
-	servers := n.members.merge(time.Now(), n.listed.Values(), n.listed.Revision, n.log)
-	for i, s := range servers {
-		servers[i].Region = n.settings.Regions[s.Zone]
-	}
-	n.evacuation.mark(n.directives.Values(), servers, n.log)
-	n.markLeaving(servers)
-	if catalog := n.core.Catalog(); catalog != nil {
-		keepBounded(catalog, servers)
-	}
-	n.core.SetServers(servers)
-	if catalog := n.core.Catalog(); catalog != nil {
-		n.stages.Configure(poolsOf(catalog, servers))
-		n.engines.Configure(enginesOf(catalog, servers, n.coldMost))
-	}
-}
-
-func sizeOf(entries []published.Entry) int {
-	size := 0
-	for _, e := range entries {
-		size += len(e.Data)
-	}
-	return size
-}
--- a/internal/notice/book.go
+++ b/internal/notice/book.go
@@ -158,13 +158,31 @@
 	return max(r.until-b.options.Boot(), 0)
 }
 
-// Listed notes which runs are listed now: of those it is kept for as long that they leave.
-func (b *Book) Listed(instances []string) {
+// Resting returns the runs that are to get nothing from this host yet, in no order.
+func (b *Book) Resting() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.resting) == 0 {
+		return nil
+	}
+	now := b.options.Boot()
+	var resting []string
+	for instance, r := range b.resting {
+		if r.until > now {
+			resting = append(resting, instance)
+		}
+	}
+	return resting
+}
+
+// Listed notes which runs are listed now: of those it is kept for as long that they
+// leave. It must be called about once a second.
+func (b *Book) Listed(lists func(instance string) bool) {
 	now := b.options.Boot()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, instance := range instances {
-		if l := b.leaving[instance]; l != nil {
+	for instance, l := range b.leaving {
+		if lists(instance) {
 			l.listed = now
 		}
 	}
--- a/internal/notice/book_test.go
+++ b/internal/notice/book_test.go
@@ -58,7 +58,7 @@
 	b.Left(run("gone"), notice.SourceAnswer)
 	for range 3 {
 		c.now += 50 * time.Minute
-		b.Listed([]string{"listed"})
+		b.Listed(func(instance string) bool { return instance == "listed" })
 		b.Forget()
 	}
 	assert.Assert(t, b.Leaving("listed"))
--- a/internal/placing/book.go
+++ b/internal/placing/book.go
@@ -258,21 +258,13 @@
 	return well, soonest
 }
 
-// Home returns which engine of a pool is the home of a prompt by rendezvous
-// hashing; empty where it shares nothing or there are no engines.
+// Home returns which engine of a prompt's shard is its home by rendezvous hashing; empty
+// where it shares nothing or there are no engines.
 func Home(engines []string, p Prompt) string {
 	if p.Shared == 0 {
 		return ""
 	}
-	shards := Shards(len(engines))
-	shard := OfPrompt(p, shards)
-	var names []string
-	for _, name := range engines {
-		if OfEngine(name, shards) == shard {
-			names = append(names, name)
-		}
-	}
-	top := homesOf(names, p, 1)
+	top := homesOf(engines, p, 1)
 	if len(top) == 0 {
 		return ""
 	}
--- a/internal/placing/replay_test.go
+++ b/internal/placing/replay_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -122,20 +123,19 @@
 
 func newPool(count int) *pool {
 	p := &pool{free: make(map[string]time.Duration), placed: make(map[string]int)}
-	shards := placing.Shards(count)
-	byShard := make([][]placing.Engine, shards)
+	shards := placing.NewShards[placing.Engine]()
 	for i := range count {
 		e := placing.Engine{
 			Instance: fmt.Sprintf("engine-%d", i), Zone: string(rune('a' + i%5)),
 			Address:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 80),
 			TokenBytes: 163840, Link: 1.1e12 / 8,
 		}
-		shard := placing.OfEngine(e.Instance, shards)
-		byShard[shard] = append(byShard[shard], e)
+		shards.Put(e.Instance, e)
 		p.placed[e.Instance] = 0
 	}
-	for _, engines := range byShard {
-		p.books = append(p.books, book(engines...))
+	shards.Divide()
+	for i := range shards.Parts() {
+		p.books = append(p.books, book(slices.Collect(maps.Values(shards.Part(i)))...))
 	}
 	return p
 }
--- a/internal/published/store.go
+++ b/internal/published/store.go
@@ -72,6 +72,9 @@
 	changed chan struct{}
 	// values is a snapshot of the decoded values, nil when out of date.
 	values map[string]V
+	// touched are the keys that changed since TakeChanged returned them last; nil
+	// before it is first called, when all have.
+	touched map[string]struct{}
 }
 
 type held[V any] struct {
@@ -133,6 +136,9 @@
 	}
 	s.sums[bucketOf(e.Key)] ^= hashOf(e.Key, version)
 	s.held[e.Key] = held[V]{entry: e, version: version, value: value}
+	if s.touched != nil {
+		s.touched[e.Key] = struct{}{}
+	}
 	s.revision = max(s.revision, e.Revision)
 	if r, found := s.rejected[e.Key]; found && r.Revision <= e.Revision {
 		delete(s.rejected, e.Key)
@@ -262,6 +268,36 @@
 	return s.values
 }
 
+// Current is what a key has in force.
+type Current[V any] struct {
+	Key      string
+	Revision uint64
+	// Removed says that there is no value.
+	Removed bool
+	Value   V
+}
+
+// TakeChanged returns what the keys have now that changed since the last call, in order;
+// all keys at the first. It serves one reader.
+func (s *Store[V]) TakeChanged() []Current[V] {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var keys []string
+	if s.touched == nil {
+		keys = slices.Collect(maps.Keys(s.held))
+	} else {
+		keys = slices.Collect(maps.Keys(s.touched))
+	}
+	s.touched = make(map[string]struct{})
+	slices.Sort(keys)
+	changed := make([]Current[V], 0, len(keys))
+	for _, key := range keys {
+		h := s.held[key]
+		changed = append(changed, Current[V]{Key: key, Revision: h.entry.Revision, Removed: h.entry.Removed, Value: h.value})
+	}
+	return changed
+}
+
 // Changed returns a channel that is closed at the next change.
 func (s *Store[V]) Changed() <-chan struct{} {
 	s.mu.RLock()
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -16,6 +16,7 @@
 	"github.com/wingvale/wingvale/internal/enginepool"
 	"github.com/wingvale/wingvale/internal/estimate"
 	"github.com/wingvale/wingvale/internal/exchange"
+	"github.com/wingvale/wingvale/internal/listed"
 	"github.com/wingvale/wingvale/internal/notice"
 	"github.com/wingvale/wingvale/internal/stagepool"
 	"github.com/wingvale/wingvale/internal/trial"
@@ -178,9 +179,10 @@
 	return c.catalog.Load()
 }
 
-// SetServers replaces the backend servers.
-func (c *Core) SetServers(list []Server) {
-	for _, instance := range c.servers.set(list) {
+// ChangeServers takes in which backend servers were added, changed and removed. What it
+// is given is shared and must not be changed.
+func (c *Core) ChangeServers(changes []listed.Change[Server]) {
+	for _, instance := range c.servers.change(changes) {
 		c.broken.gone(instance)
 	}
 	c.prime()
--- a/internal/relay/servers.go
+++ b/internal/relay/servers.go
@@ -8,11 +8,14 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/wingvale/wingvale/internal/health"
+	"github.com/wingvale/wingvale/internal/listed"
 	"github.com/wingvale/wingvale/internal/notice"
+	"github.com/wingvale/wingvale/internal/owner"
 	"github.com/wingvale/wingvale/internal/placing"
 )
 
@@ -21,11 +24,20 @@
 
 // server is what this host knows of a backend server.
 type server struct {
-	Server
+	// Server is shared and never changes; one that is published anew is another.
+	*Server
 	running int
 	health  health.Record
 }
 
+// serviceServers are the servers of one service.
+type serviceServers struct {
+	// list is by address, then instance.
+	list []*server
+	// shards has them as the owners of engines divide them.
+	shards *owner.Divided[string, *server]
+}
+
 // servers is the set of backend servers. It is safe for concurrent use.
 type servers struct {
 	zone string
@@ -33,42 +45,91 @@
 	notices *notice.Book
 
 	mu        sync.Mutex
-	byService map[string][]*server
+	byService map[string]*serviceServers
 	byID      map[string]*server
 	random    *rand.Rand
 }
 
 func newServers(zone string, notices *notice.Book, random *rand.Rand) *servers {
-	return &servers{zone: zone, notices: notices, random: random, byService: make(map[string][]*server), byID: make(map[string]*server)}
+	return &servers{zone: zone, notices: notices, random: random, byService: make(map[string]*serviceServers), byID: make(map[string]*server)}
 }
 
-// set replaces the servers and keeps what is known of those that stay. It returns
-// those that are gone.
-func (s *servers) set(list []Server) []string {
+// change takes in what was added, changed and removed, and keeps what is known of those
+// that stay. It returns those that are gone.
+func (s *servers) change(changes []listed.Change[Server]) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	byService := make(map[string][]*server)
-	byID := make(map[string]*server, len(list))
-	for _, published := range list {
-		known := s.byID[published.Instance]
-		if known == nil {
-			known = &server{}
+	var gone []string
+	touched := make(map[*serviceServers]bool)
+	for _, c := range changes {
+		if c.Old != nil && (c.New == nil || c.Old.Address != c.New.Address) {
+			touched[s.remove(c.Old)] = true
 		}
-		known.Server = published
-		byID[published.Instance] = known
-		byService[published.Service] = append(byService[published.Service], known)
+		if c.New == nil {
+			gone = append(gone, c.Old.Instance)
+			delete(s.byID, c.Old.Instance)
+			continue
+		}
+		touched[s.put(c.New)] = true
 	}
-	for _, list := range byService {
-		slices.SortFunc(list, func(a, b *server) int { return a.Address.Compare(b.Address) })
+	for service := range touched {
+		service.shards.Divide()
 	}
-	var gone []string
-	for instance := range s.byID {
-		if byID[instance] == nil {
-			gone = append(gone, instance)
+	return gone
+}
+
+// of returns the servers of a service. The mutex must be held.
+func (s *servers) of(service string) *serviceServers {
+	of := s.byService[service]
+	if of == nil {
+		of = &serviceServers{shards: placing.NewShards[*server]()}
+		s.byService[service] = of
+	}
+	return of
+}
+
+// position returns where a server stands in the list, or would, and whether it does.
+func (s *serviceServers) position(published *Server) (int, bool) {
+	return slices.BinarySearchFunc(s.list, published, func(k *server, p *Server) int {
+		if c := k.Address.Compare(p.Address); c != 0 {
+			return c
 		}
+		return strings.Compare(k.Instance, p.Instance)
+	})
+}
+
+// remove takes a server out of its service, not out of byID.
+func (s *servers) remove(published *Server) *serviceServers {
+	of := s.of(published.Service)
+	if at, found := of.position(published); found {
+		of.list = slices.Delete(of.list, at, at+1)
 	}
-	s.byService, s.byID = byService, byID
-	return gone
+	of.shards.Remove(published.Instance)
+	return of
+}
+
+// put adds a server to its service or replaces what is published of it.
+func (s *servers) put(published *Server) *serviceServers {
+	of := s.of(published.Service)
+	known := s.byID[published.Instance]
+	if known == nil {
+		known = &server{}
+		s.byID[published.Instance] = known
+	}
+	known.Server = published
+	if at, found := of.position(published); !found {
+		of.list = slices.Insert(of.list, at, known)
+	}
+	of.shards.Put(published.Instance, known)
+	return of
+}
+
+// listOf returns the servers of a service by address; the list must not be kept.
+func (s *servers) listOf(service string) []*server {
+	if of := s.byService[service]; of != nil {
+		return of.list
+	}
+	return nil
 }
 
 // any reports whether there are any servers.
@@ -83,7 +144,7 @@
 // servers get work where there are no others.
 func (s *servers) usable(service string, now time.Time, homes Homes, except []string) []*server {
 	var all, well, cold []*server
-	for _, k := range s.byService[service] {
+	for _, k := range s.listOf(service) {
 		if !s.takes(k, homes) || slices.Contains(except, k.Instance) {
 			continue
 		}
@@ -139,7 +200,7 @@
 		return Server{}, false
 	}
 	k.running++
-	return k.Server, true
+	return *k.Server, true
 }
 
 // take counts a request at a server that may get work.
@@ -165,7 +226,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var soonest time.Duration
-	for _, k := range s.byService[service] {
+	for _, k := range s.listOf(service) {
 		if k.Closed() || !homes.Allow(k.Region) || slices.Contains(except, k.Instance) {
 			continue
 		}
@@ -182,15 +243,13 @@
 
 // resting returns the servers of a service that want nothing from this host now.
 func (s *servers) resting(service string) []string {
+	resting := s.notices.Resting()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var names []string
-	for _, k := range s.byService[service] {
-		if s.notices.Rest(k.Instance) > 0 {
-			names = append(names, k.Instance)
-		}
-	}
-	return names
+	return slices.DeleteFunc(resting, func(instance string) bool {
+		k := s.byID[instance]
+		return k == nil || k.Service != service
+	})
 }
 
 // takesAny reports whether any server of a service in the homes takes work, now or after
@@ -198,17 +257,21 @@
 func (s *servers) takesAny(service string, homes Homes) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.byService[service], func(k *server) bool { return !k.Closed() && homes.Allow(k.Region) })
+	return slices.ContainsFunc(s.listOf(service), func(k *server) bool { return !k.Closed() && homes.Allow(k.Region) })
 }
 
 // homeZone returns the zone of the engine that is the home of a prompt.
 func (s *servers) homeZone(service string, p placing.Prompt, homes Homes) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	of := s.byService[service]
+	if of == nil {
+		return ""
+	}
 	var names []string
-	for _, k := range s.byService[service] {
+	for name, k := range of.shards.Part(placing.OfPrompt(p, of.shards.Parts())) {
 		if s.takes(k, homes) {
-			names = append(names, k.Instance)
+			names = append(names, name)
 		}
 	}
 	home := s.byID[placing.Home(names, p)]
--- a/internal/stagepool/backlog.go
+++ b/internal/stagepool/backlog.go
@@ -128,16 +128,10 @@
 
 // shardsOf returns the names of a service's shards. The mutex must be held.
 func (g *Group) shardsOf(service string) []string {
-	servers := g.servers[service]
-	if len(servers) <= shardSize {
-		return []string{service}
+	if of := g.services[service]; of != nil {
+		return of.shards
 	}
-	var shards []string
-	for _, s := range servers {
-		shards = append(shards, service+"/"+s.Zone)
-	}
-	slices.Sort(shards)
-	return slices.Compact(shards)
+	return []string{service}
 }
 
 // refresh notes the backlog of one of this host's own pools.
--- a/internal/stagepool/export_test.go
+++ b/internal/stagepool/export_test.go
@@ -32,3 +32,27 @@
 	backlog, ok := o.o.of(shard)
 	return backlog.Waits.Longest(), ok
 }
+
+// ShardSize is about the most servers of a shard.
+const ShardSize = shardSize
+
+// Shards returns the servers of each shard of a service, by its name.
+func Shards(service string, servers []stageplan.Server) map[string][]stageplan.Server {
+	of := newServiceServers(service)
+	for _, s := range servers {
+		of.put(s)
+	}
+	of.divide(service)
+	shards := make(map[string][]stageplan.Server)
+	for _, name := range of.shards {
+		shards[name] = of.servers(shardNamed(name))
+	}
+	return shards
+}
+
+// ShardOf returns the shard for work.
+func (g *Group) ShardOf(w stageplan.Work) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shard(w)
+}
--- a/internal/stagepool/group.go
+++ b/internal/stagepool/group.go
@@ -8,18 +8,16 @@
 	"errors"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/wingvale/wingvale/internal/stageplan"
-
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/wingvale/wingvale/internal/listed"
 	"github.com/wingvale/wingvale/internal/owner"
 	"github.com/wingvale/wingvale/internal/peerhttp"
+	"github.com/wingvale/wingvale/internal/stageplan"
 	"github.com/wingvale/wingvale/internal/stagepool/stagepb"
 )
 
@@ -38,10 +36,6 @@
 }
 
 const (
-	// shardSize is the most servers that one host owns together: with all of
-	// them at hand, work waits least for a free one, and calls are fullest; their
-	// owner sends all of it.
-	shardSize = 24
 	// aliveAfter is when a host that does not answer is asked whether it works,
 	// and aliveEvery how often it is asked again: about one call.
 	aliveAfter = 200 * time.Millisecond
@@ -66,8 +60,8 @@
 	// pools has those of this host, by shard.
 	pools map[string]*Pool
 	specs map[string]stageplan.Spec
-	// servers has the servers of each service.
-	servers map[string][]stageplan.Server
+	// services has the servers of each.
+	services map[string]*serviceServers
 	// backlogs has a mutex of its own.
 	backlogs *backlogs
 }
@@ -82,7 +76,7 @@
 		ctx:      ctx,
 		pools:    make(map[string]*Pool),
 		specs:    make(map[string]stageplan.Spec),
-		servers:  make(map[string][]stageplan.Server),
+		services: make(map[string]*serviceServers),
 		backlogs: newBacklogs(),
 	}
 }
@@ -92,52 +86,61 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.specs = specs
-	g.servers = servers
-	for key, pool := range g.pools {
-		service, zone := splitShard(key)
-		spec, ok := specs[service]
-		if !ok {
-			spec = pool.scheduler.Spec()
+	clear(g.services)
+	for service, list := range servers {
+		of := newServiceServers(service)
+		for _, server := range list {
+			of.put(server)
 		}
-		pool.configure(spec, inZone(servers[service], zone))
+		of.divide(service)
+		g.services[service] = of
+	}
+	for name, pool := range g.pools {
+		g.configure(pool, shardNamed(name))
 	}
 }
 
-// shard names the servers of a service that one host owns together: all of
-// them, or those of one zone where there are many. Work that is not tied to a
-// zone goes to the zones by their servers, to the one of two where it waits
-// less; work that is leaves its zone only where it would wait far longer. The
-// mutex must be held.
-func (g *Group) shard(w stageplan.Work) string {
-	servers := g.servers[w.Service]
-	if len(servers) <= shardSize {
-		return w.Service
+// Change takes in which servers of the services were added, changed and removed.
+func (g *Group) Change(changes []listed.Change[stageplan.Server]) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	// Zones of each service whose servers changed.
+	touched := make(map[string]map[string]bool)
+	for _, c := range changes {
+		of := g.services[c.Service]
+		if of == nil {
+			of = newServiceServers(c.Service)
+			g.services[c.Service] = of
+		}
+		if touched[c.Service] == nil {
+			touched[c.Service] = make(map[string]bool)
+		}
+		for _, zone := range of.change(c) {
+			touched[c.Service][zone] = true
+		}
 	}
-	servers = staying(servers, w)
-	if len(servers) == 0 {
-		return w.Service + "/" + w.Zone
+	for service := range touched {
+		g.services[service].divide(service)
 	}
-	hash := xxhash.Sum64String(w.Request)
-	count := uint64(len(servers))
-	first := w.Service + "/" + servers[hash%count].Zone
-	second := w.Service + "/" + servers[hash/count%count].Zone
-	if w.Zone == "" || len(inZone(servers, w.Zone)) == 0 {
-		if g.wait(second) < g.wait(first) {
-			return second
+	for name, pool := range g.pools {
+		if s := shardNamed(name); touched[s.service] != nil && (s.zone == "" || touched[s.service][s.zone]) {
+			g.configure(pool, s)
 		}
-		return first
-	}
-	home := w.Service + "/" + w.Zone
-	if g.wait(first)+zoneWait < g.wait(home) {
-		return first
 	}
-	return home
 }
 
-// staying returns the servers that do not leave, as all of a zone may, and may do the
-// work.
-func staying(servers []stageplan.Server, w stageplan.Work) []stageplan.Server {
-	return slices.DeleteFunc(slices.Clone(servers), func(s stageplan.Server) bool { return s.Leaving || !w.Allows(s) })
+// configure brings one of this host's pools in line with its shard. The mutex must be
+// held.
+func (g *Group) configure(pool *Pool, s shard) {
+	spec, ok := g.specs[s.service]
+	if !ok {
+		spec = pool.scheduler.Spec()
+	}
+	var servers []stageplan.Server
+	if of := g.services[s.service]; of != nil {
+		servers = of.servers(s)
+	}
+	pool.configure(spec, servers)
 }
 
 // wait is how long new work waits at a shard, as far as is known.
@@ -146,43 +149,25 @@
 	return backlog.Waits.Longest()
 }
 
-func splitShard(key string) (service, zone string) {
-	for i := len(key) - 1; i >= 0; i-- {
-		if key[i] == '/' {
-			return key[:i], key[i+1:]
-		}
-	}
-	return key, ""
-}
-
-func inZone(servers []stageplan.Server, zone string) []stageplan.Server {
-	if zone == "" {
-		return servers
-	}
-	var in []stageplan.Server
-	for _, s := range servers {
-		if s.Zone == zone {
-			in = append(in, s)
-		}
-	}
-	return in
-}
-
 // pool returns this host's pool of a shard, or nil for an unknown service.
-func (g *Group) pool(shard string) *Pool {
+func (g *Group) pool(name string) *Pool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if p := g.pools[shard]; p != nil {
+	s := shardNamed(name)
+	if of := g.services[s.service]; of != nil {
+		s = of.known(s)
+		name = s.String()
+	}
+	if p := g.pools[name]; p != nil {
 		return p
 	}
-	service, zone := splitShard(shard)
-	spec, ok := g.specs[service]
+	spec, ok := g.specs[s.service]
 	if !ok {
 		return nil
 	}
 	p := newPool(g.ctx, spec, g.options)
-	p.configure(spec, inZone(g.servers[service], zone))
-	g.pools[shard] = p
+	g.configure(p, s)
+	g.pools[name] = p
 	return p
 }
 
@@ -277,18 +262,15 @@
 
 // Release gives up results of a service, by the host that owns their servers.
 func (g *Group) Release(service string, results []stageplan.Result) {
-	byZone := make(map[string][]stageplan.Result)
-	for _, r := range results {
-		byZone[r.Zone] = append(byZone[r.Zone], r)
-	}
 	byShard := make(map[string][]stageplan.Result)
 	g.mu.Lock()
-	for zone, part := range byZone {
-		shard := service
-		if len(g.servers[service]) > shardSize {
-			shard += "/" + zone
+	of := g.services[service]
+	for _, r := range results {
+		name := service
+		if of != nil {
+			name = of.holding(service, r.Zone, r.Server).String()
 		}
-		byShard[shard] = append(byShard[shard], part...)
+		byShard[name] = append(byShard[name], r)
 	}
 	g.mu.Unlock()
 	for shard, part := range byShard {
