stagepool: divide the servers of a zone among owners

Cause: stage servers were divided by availability zone only, so that one host owned 150 to 193 servers where there are 900. A look for the next call goes through all servers and waiting tasks: with three tasks a server it takes 0.088 ms at 24 servers, 0.29 at 48, 0.97 at 96, 3.4 at 180; 180 servers make 640 calls a second, over 2 cores of one host with 0.8.

Ways compared, by that benchmark and the calls a second of each size: 24 servers a shard 0.06 of a core for the zone in all, 48 0.19, 180 2.2. Kept: 24, as the shards of small services have.

Change: a zone's servers are divided as engines are, by their addresses.

Before: TestNoHostOwnsManyServersOfAService finds 180 servers in one shard.

--- a/internal/stageplan/aside_test.go
+++ b/internal/stageplan/aside_test.go
@@ -106,14 +106,26 @@
 	}
 }
 
-// BenchmarkNextInACrowd looks for the next call while 500 tasks wait and 24 servers work.
+// BenchmarkNextInACrowd looks for the next call while tasks wait and all servers work.
 func BenchmarkNextInACrowd(b *testing.B) {
+	for _, c := range []struct{ servers, tasks int }{{24, 500}, {24, 72}, {48, 144}, {96, 288}, {180, 540}} {
+		b.Run(fmt.Sprintf("servers=%d/tasks=%d", c.servers, c.tasks), func(b *testing.B) {
+			s := crowded(c.servers, c.tasks)
+			for b.Loop() {
+				s.Next(start)
+			}
+		})
+	}
+}
+
+// crowded returns a scheduler whose servers all work while so many tasks wait.
+func crowded(count, tasks int) *stageplan.Scheduler {
 	var servers []stageplan.Server
-	for i := range 24 {
+	for i := range count {
 		servers = append(servers, server(i+1, string(rune('a'+i%3))))
 	}
 	s := newScheduler(spec, servers...)
-	for i := range 24 {
+	for i := range count {
 		s.Add(start, due(fmt.Sprint("running", i), 8, 0, time.Second))
 	}
 	for {
@@ -121,10 +133,8 @@
 			break
 		}
 	}
-	for i := range 500 {
+	for i := range tasks {
 		s.Add(start, due(fmt.Sprint(i), 1+i%8, i%3, time.Duration(300+i)*ms))
 	}
-	for b.Loop() {
-		s.Next(start)
-	}
+	return s
 }
--- a/internal/stagepool/shard.go
+++ b/internal/stagepool/shard.go
@@ -5,7 +5,6 @@
 
 import (
 	"maps"
-	"math"
 	"math/bits"
 	"net/netip"
 	"slices"
@@ -110,7 +109,7 @@
 	zone := s.zones[server.Zone]
 	if zone == nil {
 		hash := func(address netip.AddrPort) uint64 { return owner.Score(address, "") }
-		zone = &zoneServers{region: server.Region, servers: owner.NewDivided[netip.AddrPort, stageplan.Server](math.MaxInt/2, hash)}
+		zone = &zoneServers{region: server.Region, servers: owner.NewDivided[netip.AddrPort, stageplan.Server](shardSize, hash)}
 		s.zones[server.Zone] = zone
 		s.names = slices.Sorted(maps.Keys(s.zones))
 		s.renamed = true
--- a/internal/stagepool/shard_test.go
+++ b/internal/stagepool/shard_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/wingvale/wingvale/internal/listed"
 	"github.com/wingvale/wingvale/internal/stageplan"
+	"github.com/wingvale/wingvale/internal/stagepool"
 )
 
 // manyServers returns so many in each of five availability zones.
@@ -29,6 +30,41 @@
 	return list
 }
 
+// One host owned the 180 servers of a zone, and looked at all of them for each of their
+// 800 calls a second.
+func TestNoHostOwnsManyServersOfAService(t *testing.T) {
+	for _, each := range []int{6, 30, 180, 360} {
+		servers := manyServers(each)
+		shards := stagepool.Shards("read", servers)
+		held := make(map[string]bool)
+		for _, shard := range shards {
+			assert.Assert(t, len(shard) <= 2*stagepool.ShardSize, "%d servers in a shard, %d a zone", len(shard), each)
+			for _, s := range shard {
+				assert.Assert(t, !held[s.Instance], "%s is in two shards", s.Instance)
+				held[s.Instance] = true
+			}
+		}
+		assert.Equal(t, len(held), len(servers))
+	}
+}
+
+func TestWorkSpreadsOverAllShards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f, groups := newFleet(ctx, 8, manyServers(60)...)
+		for i := range 200 {
+			assert.Equal(t, ask(ctx, groups[i%len(groups)], fmt.Sprint("request-", i), "c").Failure, stageplan.Failure(""))
+		}
+		// One after another, each shard's requests go to the same server.
+		assert.Equal(t, len(f.calls), 3, "of the 60 servers of their zone, in three shards")
+		for instance := range f.calls {
+			assert.Equal(t, instance[0], byte('2'), "light work leaves its zone")
+		}
+		cancel()
+	})
+}
+
 // A host that has heard of fewer servers is asked for a part that it doesn't know, and
 // must not say that there are no servers.
 func TestHostsThatKnowOfFewerServersServeAllTheSame(t *testing.T) {
