publisher, peer, gateway: let hosts that start take the list from their peers

Cause: each host that starts read all keys from the store, whether it watches or not: 585 hosts before 6,000 servers read 1.6 GB, 13 s of the store's link of 1 Gbit/s, and hosts times servers grows with the square of the fleet. What peers could have told went key by key: names and versions of all, then entries in parts of 32 KB.

Ruled out: whole parts wherever two stores differ (nodes that each hold half of the same parts sent them again: 40 MB where 14 are lacked).

Change: a host reads until it knows the hosts that own pools; unless it is one of those that watch, it then takes what peers have and asks the store once what has changed since. After 3 s in vain it reads all. Parts of which a host has nothing come whole, packed, kept packed for the next, from one peer at a time. A comparison tells through which revision it is complete, so that a host knows it has all while others go on changing.

--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -66,6 +66,7 @@
 	listed     *published.Store[*relay.Server]
 	view       *fleet.View
 	gossip     *peer.Gossip
+	stores     map[publisher.Space]watched
 	watchers   []*publisher.Watcher
 	peers      *http.Client
 	backends   *exchange.Pool
@@ -153,6 +154,7 @@
 	n.core = n.newCore()
 	n.members = newMembers()
 	n.reading = newReading()
+	n.stores = map[publisher.Space]watched{publisher.SpaceConfiguration: n.directives, publisher.SpaceHosts: n.listed}
 	n.watchers = []*publisher.Watcher{
 		n.newWatcher(publisher.SpaceConfiguration, n.directives),
 		n.newWatcher(publisher.SpaceHosts, n.listed),
@@ -206,6 +208,9 @@
 	// backoffMost bounds the pause between tries to reach the publisher, so
 	// that its return is noticed in time.
 	backoffMost = 500 * time.Millisecond
+	// hadMost is how long a host that starts waits for what its peers have before it
+	// reads all itself.
+	hadMost = 3 * time.Second
 	// watchPause gathers changes that come in a row, as when many servers
 	// start; it is small beside the 2 s in which a change must be in force.
 	watchPause = 200 * time.Millisecond
@@ -236,12 +241,13 @@
 	n.gossip.Announce(n.ctx, announceTo)
 }
 
-func (n *Node) newWatcher(space publisher.Space, store publisher.Store) *publisher.Watcher {
+func (n *Node) newWatcher(space publisher.Space, store watched) *publisher.Watcher {
 	return publisher.NewWatcher(publisher.WatcherOptions{
 		Source:      n.options.Source,
 		Space:       space,
 		Store:       store,
 		Must:        func() bool { return n.mustWatch(space) },
+		Had:         func(ctx context.Context, yield func()) uint64 { return n.had(ctx, space, yield) },
 		Answers:     func(answers bool) { n.answers(space, answers) },
 		Accepted:    func(entries []published.Entry) { n.took(space, entries) },
 		Lost:        func() { n.members.lost(time.Now()) },
@@ -253,6 +259,41 @@
 	})
 }
 
+// watched is a store that a watcher keeps up to date.
+type watched interface {
+	publisher.Store
+	Summary() published.Summary
+}
+
+// had waits until peers have told all of a space, where others watch it: see
+// publisher.WatcherOptions.
+func (n *Node) had(ctx context.Context, space publisher.Space, yield func()) uint64 {
+	select {
+	case <-ctx.Done():
+		return 0
+	case <-n.settled:
+	}
+	if n.watches(space) {
+		return 0
+	}
+	yield()
+	store := n.stores[space]
+	until := time.Now().Add(hadMost)
+	for ctx.Err() == nil && time.Now().Before(until) {
+		if through := store.Summary().Through; through > 0 {
+			return through
+		}
+		sleep(ctx, beginEvery)
+	}
+	return 0
+}
+
+// watches reports whether the node is one of those that watch a space, as far as the
+// view tells.
+func (n *Node) watches(space publisher.Space) bool {
+	return n.live().Count() <= watchersAll || peer.Elected(n.view, string(space), watchersPerZone)
+}
+
 // mustWatch reports whether the node watches a space. One that does not know the
 // others yet waits until it does: each of 295 that start together would take itself
 // for one of few.
@@ -260,7 +301,7 @@
 	if !n.reading.of(space) {
 		return true
 	}
-	return n.isSettled() && (n.live().Count() <= watchersAll || peer.Elected(n.view, string(space), watchersPerZone))
+	return n.isSettled() && n.watches(space)
 }
 
 // Done is closed when Run has returned.
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -81,6 +81,9 @@
 	cancel    context.CancelFunc
 	pulls     *pulls
 	encodings *encodings
+	packed    *packedParts
+	// bulks has, for each space, a value while whole parts of it are being taken over.
+	bulks map[peerpb.Space]chan struct{}
 	// sent and received pace large entries.
 	sent     *rate.Limiter
 	received *rate.Limiter
@@ -113,6 +116,10 @@
 	if options.Interval <= 0 {
 		options.Interval = DefaultInterval
 	}
+	bulks := make(map[peerpb.Space]chan struct{})
+	for space := range options.Spaces {
+		bulks[space] = make(chan struct{}, 1)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Gossip{
 		options:   options,
@@ -122,6 +129,8 @@
 		cancel:    cancel,
 		pulls:     newPulls(),
 		encodings: newEncodings(),
+		packed:    newPackedParts(),
+		bulks:     bulks,
 		sent:      newLimiter(options.Link),
 		received:  newLimiter(options.Link),
 		quick:     rate.NewLimiter(quickRate, quickBurst),
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -61,7 +61,14 @@
 	if len(in.GetSums()) != published.Buckets {
 		return nil, twirp.InvalidArgumentError("sums", "wrong count")
 	}
-	return &peerpb.CompareReply{Sums: store.Sums(), Versions: versionMessages(store.Differing(in.GetSums()))}, nil
+	// What it has through that revision is among the versions, which are read later.
+	reply := &peerpb.CompareReply{Through: store.Summary().Through, Sums: store.Sums()}
+	if len(lackingParts(in.GetSums(), reply.GetSums())) > manyParts {
+		reply.Many = true
+		return reply, nil
+	}
+	reply.Versions = versionMessages(store.Differing(in.GetSums()))
+	return reply, nil
 }
 
 // Fetch returns entries until the reply is full; the asker asks again.
--- a/internal/peer/space.go
+++ b/internal/peer/space.go
@@ -17,6 +17,7 @@
 	Differing(sums []uint64) map[string]published.Version
 	Newer(sums []uint64, versions map[string]published.Version) (newer []published.Entry, wanted []string)
 	Entries(keys ...string) []published.Entry
+	InBuckets(buckets []int) map[int][]published.Entry
 	Entry(key string) (published.Entry, bool)
 	EntryOf(key string, version published.Version) (published.Entry, bool)
 	Lacks(key string, version published.Version) bool
--- a/internal/peer/synchronise.go
+++ b/internal/peer/synchronise.go
@@ -104,6 +104,15 @@
 	if err != nil {
 		return nil, err
 	}
+	if reply.GetMany() {
+		if err := g.takeBulk(ctx, address, space, store, reply.GetSums()); err != nil {
+			return nil, err
+		}
+		// Where much changes meanwhile the next heartbeat goes on.
+		if reply, err = g.compared(ctx, address, space, store.Sums()); err != nil || reply.GetMany() {
+			return nil, err
+		}
+	}
 	versions := versionsOf(reply.GetVersions())
 	newer, wanted := store.Newer(reply.GetSums(), versions)
 	lacking := make(map[string]published.Version, len(wanted))
@@ -114,9 +123,22 @@
 	if err != nil {
 		return pulls, err
 	}
+	if !lacksAny(store, lacking) {
+		store.Complete(reply.GetThrough())
+	}
 	return pulls, g.tell(ctx, address, space, newer)
 }
 
+// lacksAny reports whether a store still lacks any of some versions.
+func lacksAny(store Store, versions map[string]published.Version) bool {
+	for key, v := range versions {
+		if store.Lacks(key, v) {
+			return true
+		}
+	}
+	return false
+}
+
 func (g *Gossip) compared(ctx context.Context, address netip.AddrPort, space peerpb.Space, sums []uint64) (*peerpb.CompareReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callFor)
 	defer cancel()
--- a/internal/published/store.go
+++ b/internal/published/store.go
@@ -413,6 +413,26 @@
 	return entries
 }
 
+// InBuckets returns the held entries of some buckets, tombstones included.
+func (s *Store[V]) InBuckets(buckets []int) map[int][]Entry {
+	entries := make(map[int][]Entry, len(buckets))
+	if len(buckets) == 0 {
+		return entries
+	}
+	for _, b := range buckets {
+		entries[b] = nil
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for key, h := range s.held {
+		b := bucketOf(key)
+		if _, wanted := entries[b]; wanted {
+			entries[b] = append(entries[b], h.entry)
+		}
+	}
+	return entries
+}
+
 // State is what the dump shows of a store.
 type State struct {
 	Summary   Summary           `json:"summary"`
--- a/internal/publisher/watcher.go
+++ b/internal/publisher/watcher.go
@@ -54,7 +54,13 @@
 	Space  Space
 	Store  Store
 	// Must reports whether this node is one of those that watch now.
-	Must     func() bool
+	Must func() bool
+	// Had waits at the start until others have told this node what they have. It calls
+	// yield once they are expected to: the node's own read of all keys then ends. It
+	// returns the revision up to which the store has every key by then, or 0 where this
+	// node must read all itself. Nil is that it must. A whole fleet that starts and reads
+	// all keys takes as long as its publisher's link needs for hosts times keys.
+	Had      func(ctx context.Context, yield func()) uint64
 	Accepted Accepted
 	// Lost is told when the source stops to answer, Regained when it answers
 	// again; both may be nil.
@@ -99,9 +105,14 @@
 // watches while it must, until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	defer close(w.done)
-	after, listed := uint64(0), time.Time{}
-	started := false
+	listed := time.Time{}
 	lost := false
+	after, started := w.open(ctx)
+	if started {
+		listed = time.Now()
+		close(w.first)
+		w.tell(true)
+	}
 	backoff := backoffFirst
 	for ctx.Err() == nil {
 		if started && !w.options.Must() {
@@ -110,7 +121,12 @@
 			continue
 		}
 		full := time.Since(listed) > fullReadEvery
-		next, err := w.step(ctx, after, full)
+		spared := !started && after > 0
+		next, err := w.begin(ctx, after, full, spared)
+		if errors.Is(err, ErrCompacted) && spared {
+			after = 0
+			continue
+		}
 		if errors.Is(err, ErrCompacted) && !full {
 			// A history that is forgotten again and again must not make a busy
 			// loop of listings.
@@ -142,7 +158,7 @@
 			call(w.options.Regained)
 			w.tell(true)
 		}
-		if time.Since(listed) > fullReadEvery {
+		if time.Since(listed) > fullReadEvery && !spared {
 			listed = time.Now()
 		}
 		if !started {
@@ -157,6 +173,47 @@
 	}
 }
 
+// open reads all keys unless others are to tell this node, and reports whether it has.
+// Else it returns the revision up to which they have told all, 0 for none.
+func (w *Watcher) open(ctx context.Context) (after uint64, read bool) {
+	if w.options.Had == nil {
+		return 0, false
+	}
+	reading, yield := context.WithCancel(ctx)
+	defer yield()
+	waiting, stop := context.WithCancel(ctx)
+	defer stop()
+	had := make(chan uint64, 1)
+	go func() { had <- w.options.Had(waiting, yield) }()
+	next, err := w.step(reading, 0, true)
+	if err != nil && reading.Err() != nil {
+		return <-had, false
+	}
+	stop()
+	<-had
+	return next, err == nil
+}
+
+// begin is step, but for a node that others have told all: it reads what has changed
+// since, and does not wait.
+func (w *Watcher) begin(ctx context.Context, after uint64, full, spared bool) (uint64, error) {
+	if !spared {
+		return w.step(ctx, after, full)
+	}
+	values, err := w.options.Source.News(ctx, w.options.Space, after)
+	if err != nil {
+		return 0, err
+	}
+	return w.take(values), nil
+}
+
+// take takes in what changed.
+func (w *Watcher) take(values Values) uint64 {
+	w.accept(w.options.Store.Offer(values.Entries()...))
+	w.options.Store.Complete(values.Revision)
+	return values.Revision
+}
+
 // step reads or watches once and returns the revision to go on from. That one
 // may be lower than the last where the service went back; the store takes no
 // harm from it.
@@ -175,9 +232,7 @@
 	if err != nil {
 		return 0, err
 	}
-	w.accept(w.options.Store.Offer(values.Entries()...))
-	w.options.Store.Complete(values.Revision)
-	return values.Revision, nil
+	return w.take(values), nil
 }
 
 func (w *Watcher) accept(entries []published.Entry) {
