peer: send heartbeats to neighbours whose connections are kept

Cause: each host contacted all others by turns, 585 in 585 s, while idle connections are kept for 60 s: every heartbeat of a large fleet opened a connection, and each host held 120 that were used once.

Change: a host contacts the 32 members that rendezvous names for it, by turns. Each member still gets about one heartbeat a second, from as many others; news spread as at random.

--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/wingvale/wingvale/internal/fleet"
+	"github.com/wingvale/wingvale/internal/owner"
 	"github.com/wingvale/wingvale/internal/peer/peerpb"
 	"github.com/wingvale/wingvale/internal/published"
 	"github.com/wingvale/wingvale/internal/suspect"
@@ -70,6 +71,9 @@
 	// goneEvery is the heartbeat, of so many, that tries a member taken for
 	// gone, so that two sides that were cut off find each other again.
 	goneEvery = 4
+	// neighboursMost is how many members a host contacts by turns. All of them are
+	// contacted within the time for which idle connections are kept.
+	neighboursMost = 32
 	// pending bounds the synchronisations and pushes that wait.
 	pending = 64
 )
@@ -209,7 +213,7 @@
 	return mean/2 + time.Duration(g.random.Int64N(int64(mean)))
 }
 
-// next returns the member to contact: each live one once a round in random
+// next returns the member to contact: each live neighbour once a round in random
 // order, and now and then, at a heartbeat that is not a quick one, one that is
 // taken for gone.
 func (g *Gossip) next(quick bool) (netip.AddrPort, bool) {
@@ -230,7 +234,7 @@
 	}
 	for {
 		if len(g.round) == 0 {
-			g.round = reachable(members)
+			g.round = neighbours(g.options.View.Self().Address, reachable(members))
 			g.random.Shuffle(len(g.round), func(i, j int) { g.round[i], g.round[j] = g.round[j], g.round[i] })
 		}
 		if len(g.round) == 0 {
@@ -244,6 +248,16 @@
 	}
 }
 
+// neighbours returns the members that a host contacts in a large fleet: those that
+// rendezvous names, so that connections to them are used again. As many others contact
+// each of them, and what one knows reaches all by as few steps as at random.
+func neighbours(self netip.AddrPort, addresses []netip.AddrPort) []netip.AddrPort {
+	if len(addresses) <= neighboursMost {
+		return addresses
+	}
+	return owner.Top(addresses, self.String(), neighboursMost)
+}
+
 func reachable(members []fleet.Member) []netip.AddrPort {
 	var addresses []netip.AddrPort
 	for _, m := range members {
