daemon, settings: keep the runtime to the memory of the settings

Cause: the runtime did not know how much memory a process may use: garbage could grow to twice of what is held, however near the host's bound that is, and the host then ends it.

Change: the settings' memory-mb, which the platform fills in, sets the runtime's memory limit to 0.7 of it. What a host holds stays the same; near the limit garbage is collected more often.

--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -17,3 +17,6 @@
 
 // EndsAtOnce is what a signal does to a process that is stopping.
 var EndsAtOnce = endsAtOnce
+
+// LimitMemory makes the runtime keep to what the settings allow.
+var LimitMemory = limitMemory
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -32,6 +33,19 @@
 	keepAliveProbes = 2
 )
 
+// memoryShare of what a process may use is where garbage is collected more often: beyond all
+// of it the host ends the process. The rest is for stacks, connections and the program.
+const memoryShare = 0.7
+
+// limitMemory makes the runtime keep to what the settings allow.
+func limitMemory(s settings.Gateway) {
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * s.Memory * bytesPerMegabyte))
+	}
+}
+
+const bytesPerMegabyte = 1 << 20
+
 // RunGateway runs a node on the users' platform until SIGTERM or SIGINT has
 // stopped it as planned, or SIGINT during that at once. SIGHUP makes it read its
 // settings again.
@@ -41,6 +55,7 @@
 	log := logrus.New()
 	log.SetOutput(lines)
 	log.SetLevel(s.LogLevel)
+	limitMemory(s)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "15:04:05.000"})
 	scope, scraped, closer := Metrics()
 	defer func() { _ = closer.Close() }()
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -34,6 +34,8 @@
 	// 0 is not told.
 	Link  float64
 	Cores float64
+	// Memory is how many MB the process may use; 0 is not told.
+	Memory float64
 	// Seeds are peer addresses to try first; they may be stale.
 	Seeds []netip.AddrPort
 	// Publisher is where configuration and backend servers are read.
@@ -106,6 +108,7 @@
 		{section: "node", name: "regions", set: pairs(&g.Regions)},
 		{section: "node", name: "link-mbps", set: amount(&g.Link)},
 		{section: "node", name: "cores", set: amount(&g.Cores)},
+		{section: "node", name: "memory-mb", set: amount(&g.Memory)},
 		{section: "node", name: "seeds", set: addresses(&g.Seeds)},
 		{section: "publisher", name: "address", required: true, set: address(&g.Publisher)},
 		{section: "publisher", name: "ready-after", set: duration(&g.ReadyAfter, 0, longest)},
