relay: end looks at backend servers with their host

Cause: TestDarkEnginesAreLeftAlone ended once with a goroutine that still connected to a server: looks lasted for up to a second whatever became of the host.

Change: looks end with the host's context. TestALookEndsWithTheHost fails on the code before.

--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -44,6 +44,7 @@
 func (n *Node) newCore() *relay.Core {
 	s, o := n.settings, n.options
 	return relay.New(relay.Options{
+		Context:      n.ctx,
 		Zone:         s.Zone,
 		Dialect:      o.Dialect,
 		Servers:      n.backends,
--- a/internal/relay/broken.go
+++ b/internal/relay/broken.go
@@ -61,13 +61,15 @@
 	// told of the requests that lay on a server which has ended.
 	refuses func(ctx context.Context, s Server) bool
 	ended   func(s Server, requests []lain)
+	// ctx ends with the host, and the looks with it.
+	ctx context.Context
 
 	mu      sync.Mutex
 	servers map[string]*brokenServer
 }
 
-func newBroken(refuses func(ctx context.Context, s Server) bool, ended func(s Server, requests []lain)) *broken {
-	return &broken{refuses: refuses, ended: ended, servers: make(map[string]*brokenServer)}
+func newBroken(ctx context.Context, refuses func(ctx context.Context, s Server) bool, ended func(s Server, requests []lain)) *broken {
+	return &broken{ctx: ctx, refuses: refuses, ended: ended, servers: make(map[string]*brokenServer)}
 }
 
 // add notes that a connection broke, and looks at the server unless somebody does.
@@ -136,7 +138,7 @@
 
 // look connects to a server, twice where it must, to see whether it has ended.
 func (b *broken) look(s Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), lookFor)
+	ctx, cancel := context.WithTimeout(b.ctx, lookFor)
 	defer cancel()
 	if b.refuses(ctx, s) {
 		b.refused(s.Instance)
@@ -144,7 +146,10 @@
 	}
 	again := time.NewTimer(lookAgain)
 	defer again.Stop()
-	<-again.C
+	select {
+	case <-ctx.Done():
+	case <-again.C:
+	}
 	if b.refuses(ctx, s) {
 		b.refused(s.Instance)
 		return
--- a/internal/relay/broken_test.go
+++ b/internal/relay/broken_test.go
@@ -4,8 +4,10 @@
 package relay_test
 
 import (
+	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -98,3 +100,23 @@
 		assert.DeepEqual(t, e.of("later"), []suspect.Digest{8})
 	})
 }
+
+// A look at a server went on for up to a second after its host had ended.
+func TestALookEndsWithTheHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := context.WithCancel(t.Context())
+		looking := make(chan struct{})
+		var ended atomic.Bool
+		b := relay.NewBrokenUntil(ctx, func(ctx context.Context) bool {
+			close(looking)
+			<-ctx.Done()
+			ended.Store(true)
+			return false
+		})
+		b.Add("server", suspect.Digest(1))
+		<-looking
+		end()
+		synctest.Wait()
+		assert.Assert(t, ended.Load())
+	})
+}
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -24,6 +24,8 @@
 
 // Options are a Core's dependencies; all are needed.
 type Options struct {
+	// Context ends with the host.
+	Context context.Context
 	Zone    string
 	Dialect Dialect
 	Servers *exchange.Pool
@@ -116,7 +118,7 @@
 
 		departure: newDeparture(),
 	}
-	c.broken = newBroken(func(ctx context.Context, s Server) bool { return o.Servers.Refuses(ctx, s.Address) }, c.serverEnded)
+	c.broken = newBroken(o.Context, func(ctx context.Context, s Server) bool { return o.Servers.Refuses(ctx, s.Address) }, c.serverEnded)
 	return c
 }
 
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -89,6 +89,7 @@
 // NewBroken returns one that looks with refuses and tells ended.
 func NewBroken(refuses func(instance string) bool, ended func(instance string, digests []suspect.Digest)) Broken {
 	return Broken{b: newBroken(
+		context.Background(),
 		func(_ context.Context, s Server) bool { return refuses(s.Instance) },
 		func(s Server, requests []lain) {
 			var digests []suspect.Digest
@@ -100,6 +101,11 @@
 	)}
 }
 
+// NewBrokenUntil returns one whose looks end with ctx.
+func NewBrokenUntil(ctx context.Context, refuses func(ctx context.Context) bool) Broken {
+	return Broken{b: newBroken(ctx, func(ctx context.Context, _ Server) bool { return refuses(ctx) }, func(Server, []lain) {})}
+}
+
 // Add notes that the connection to a server broke while it had a request.
 func (b Broken) Add(instance string, digest suspect.Digest) {
 	b.b.add(Server{Instance: instance}, lain{digest: digest, at: time.Now()})
