--- a/internal/relay/broken_test.go
+++ b/internal/relay/broken_test.go
@@ -105,10 +105,10 @@
 func TestALookEndsWithTheHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, end := context.WithCancel(t.Context())
-		looking := make(chan struct{})
+		looking := make(chan struct{}, 2)
 		var ended atomic.Bool
 		b := relay.NewBrokenUntil(ctx, func(ctx context.Context) bool {
-			close(looking)
+			looking <- struct{}{}
 			<-ctx.Done()
 			ended.Store(true)
 			return false
