peer, publisher: reach hosts whose watchers cannot read

Ruled out: three watchers for each host (of five that are cut off at random three are the same for some hosts still).

--- a/internal/peer/direct.go
+++ b/internal/peer/direct.go
@@ -76,7 +76,8 @@
 // TellDirect hands the small ones of the changes that this host has read to those hosts
 // that it tells among watchers, the hosts that read them. Each host is told by directCopies of the
 // watchers, in one step and one message a batch; passed on at random each would get
-// several times as many. Whoever is missed finds the difference with a heartbeat.
+// several times as many. Each host to which a change is news hands it to one other, for
+// those whose watchers cannot read; whoever is missed finds the difference with a heartbeat.
 func (g *Gossip) TellDirect(space peerpb.Space, c Changes, watchers []fleet.Member) {
 	t := g.tellers[space]
 	c.Entries = slices.DeleteFunc(slices.Clone(c.Entries), func(e published.Entry) bool { return e.Version().Large() })
@@ -117,17 +118,12 @@
 
 // tellBatch sends changes to all of some hosts at the same time, and waits for them.
 func (g *Gossip) tellBatch(space peerpb.Space, c Changes, peers []netip.AddrPort) {
-	request := &peerpb.PushRequest{Space: space, Direct: true, After: c.After, Through: c.Through}
-	if bytesOf(c.Entries) < packFrom {
-		request.Entries = entryMessages(c.Entries)
-	} else {
-		packed, err := pack(c.Entries)
-		if err != nil {
-			g.options.Log.WithError(err).Warn("entries could not be packed")
-			return
-		}
-		request.Packed = packed
+	request, err := pushRequest(space, c.Entries)
+	if err != nil {
+		g.options.Log.WithError(err).Warn("entries could not be packed")
+		return
 	}
+	request.Direct, request.After, request.Through = true, c.After, c.Through
 	ctx, cancel := context.WithTimeout(g.ctx, directFor)
 	defer cancel()
 	var all sync.WaitGroup
@@ -142,6 +138,38 @@
 	g.options.Scope.Counter("tells").Inc(int64(len(peers)))
 }
 
+// relay hands entries that were news to one other host. Those whose watchers cannot read
+// get them so, by some hosts in turn.
+func (g *Gossip) relay(space peerpb.Space, entries []published.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	request, err := pushRequest(space, entries)
+	if err != nil {
+		g.options.Log.WithError(err).Warn("entries could not be packed")
+		return
+	}
+	for _, m := range g.pick(1, netip.AddrPort{}) {
+		g.enqueue(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, callFor)
+			defer cancel()
+			_, _ = g.client(m.Peer).Push(ctx, request)
+		})
+	}
+}
+
+// pushRequest has entries, compressed where they are not few.
+func pushRequest(space peerpb.Space, entries []published.Entry) (*peerpb.PushRequest, error) {
+	request := &peerpb.PushRequest{Space: space}
+	if bytesOf(entries) < packFrom {
+		request.Entries = entryMessages(entries)
+		return request, nil
+	}
+	packed, err := pack(entries)
+	request.Packed = packed
+	return request, err
+}
+
 // directFor bounds the time for which one batch holds up the next: a host that does not
 // answer by then finds the difference with a heartbeat.
 const directFor = 300 * time.Millisecond
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -47,7 +47,7 @@
 	// where the node does not share it.
 	Suspects Suspects
 	// Direct reports whether hosts that read changes of a space hand them to all others,
-	// so that what a heartbeat finds is not told on; nil is that they don't.
+	// so that each passes them on but once; nil is that they don't.
 	Direct func(space peerpb.Space) bool
 	// Interval is the time between heartbeats.
 	Interval time.Duration
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -34,8 +34,11 @@
 	}
 	members, leaving := newsMessages(g.news())
 	// Whoever sent the heartbeat synchronises both ways; here it is only noted where
-	// both hold the same.
+	// both hold the same, or the other has more.
 	g.options.Spaces.differing(in.GetSummaries())
+	if address, err := addressOf(in.GetMembers()[0].GetPeer()); err == nil {
+		g.noteAhead(address, in.GetSummaries())
+	}
 	reply := &peerpb.ExchangeReply{
 		Members: members, Leaving: leaving, Summaries: g.options.Spaces.summaries(), View: g.options.View.Sums().Total(),
 	}
@@ -104,14 +107,10 @@
 		entries = append(entries, packed...)
 	}
 	accepted := store.Offer(entries...)
-	if !in.GetDirect() {
-		s.g.accepted(in.GetSpace(), accepted)
-		return &peerpb.PushReply{}, nil
-	}
-	store.Covered(in.GetAfter(), in.GetThrough())
-	if len(accepted) > 0 {
-		s.g.options.Accepted(in.GetSpace(), accepted)
+	if in.GetDirect() {
+		store.Covered(in.GetAfter(), in.GetThrough())
 	}
+	s.g.accepted(in.GetSpace(), accepted)
 	return &peerpb.PushReply{}, nil
 }
 
--- a/internal/peer/spread.go
+++ b/internal/peer/spread.go
@@ -104,6 +104,10 @@
 // sent to three others filled links of 10 Mbit/s for 12 s.
 func (g *Gossip) spread(space peerpb.Space, s *spreader) {
 	passed, toldOf := s.take(time.Now())
+	if g.options.Direct(space) {
+		g.relay(space, passed)
+		return
+	}
 	pushed, advertised := split(passed)
 	if len(pushed) > 0 {
 		for _, m := range g.pick(Fanout, netip.AddrPort{}) {
--- a/internal/peer/synchronise.go
+++ b/internal/peer/synchronise.go
@@ -24,6 +24,7 @@
 	if err != nil {
 		return
 	}
+	g.noteAhead(address, summaries)
 	for _, space := range g.differing(summaries) {
 		if g.synchronising(syncKey{peer: address, space: space}) {
 			continue
@@ -32,24 +33,18 @@
 	}
 }
 
-// differing returns the spaces to compare with a peer that told of its own.
+// differing returns the spaces to compare at once with a peer that told of its own.
 func (g *Gossip) differing(summaries []*peerpb.Summary) []peerpb.Space {
 	spaces := g.options.Spaces.differing(summaries)
-	var compared []peerpb.Space
 	for _, m := range summaries {
-		space := m.GetSpace()
-		switch {
-		case !g.options.Direct(space):
-			if slices.Contains(spaces, space) {
-				compared = append(compared, space)
-			}
-		case !slices.Contains(spaces, space):
-			g.behind.same(space)
-		case g.behind.compares(time.Now(), space, g.options.Spaces[space].Summary(), published.Summary{Through: m.GetThrough()}):
-			compared = append(compared, space)
+		if !slices.Contains(spaces, m.GetSpace()) {
+			g.behind.same(m.GetSpace())
 		}
 	}
-	return compared
+	return slices.DeleteFunc(spaces, func(space peerpb.Space) bool {
+		handed := g.options.Direct(space) && g.options.Spaces[space].Summary().Through > 0
+		return handed && !g.behind.differs(time.Now(), space)
+	})
 }
 
 // Synchronise compares both spaces with some live peers, and the ends of backend
--- a/internal/publisher/watcher.go
+++ b/internal/publisher/watcher.go
@@ -63,8 +63,8 @@
 	Had      func(ctx context.Context, yield func()) uint64
 	Accepted Accepted
 	// Brought is told of all changes after one revision through another that a watch
-	// brought, also those that came by another way before; nil is that nobody wants to
-	// know.
+	// brought, also those that came by another way before; and, with no revisions, of
+	// what a later listing brought that was news. Nil is that nobody wants to know.
 	Brought func(after, through uint64, entries []published.Entry)
 	// Lost is told when the source stops to answer, Regained when it answers
 	// again; both may be nil.
@@ -216,10 +216,24 @@
 	entries := values.Entries()
 	w.accept(w.options.Store.Offer(entries...))
 	w.options.Store.Complete(values.Revision)
+	w.bring(after, values.Revision, entries)
+	return values.Revision
+}
+
+// started reports whether the space has been read once.
+func (w *Watcher) started() bool {
+	select {
+	case <-w.first:
+		return true
+	default:
+		return false
+	}
+}
+
+func (w *Watcher) bring(after, through uint64, entries []published.Entry) {
 	if w.options.Brought != nil && len(entries) > 0 {
-		w.options.Brought(after, values.Revision, entries)
+		w.options.Brought(after, through, entries)
 	}
-	return values.Revision
 }
 
 // step reads or watches once and returns the revision to go on from. That one
@@ -232,8 +246,12 @@
 			return 0, err
 		}
 		listing := published.Listing{Revision: values.Revision, Entries: values.Entries()}
-		w.accept(w.options.Store.OfferListing(listing))
+		accepted := w.options.Store.OfferListing(listing)
+		w.accept(accepted)
 		w.options.Store.Complete(values.Revision)
+		if w.started() {
+			w.bring(0, 0, accepted)
+		}
 		return values.Revision, nil
 	}
 	values, err := w.options.Source.Watch(ctx, w.options.Space, after)
