--- a/internal/gateway/refresh_test.go
+++ b/internal/gateway/refresh_test.go
@@ -4,10 +4,12 @@
 package gateway_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/netip"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -119,6 +121,30 @@
 	assert.Equal(t, len(n.Core().Servers()), 300)
 }
 
+// An entry may come to name the same run at another address, go and come back between two
+// looks, or name another service.
+func TestAServerIsHeldOnceWhereverItGoes(t *testing.T) {
+	n := newNode(10)
+	moved := serverEntry(3, 2, false)
+	moved.Data = bytes.Replace(moved.Data, []byte("10.2.0.3:80"), []byte("10.9.9.9:80"), 1)
+	n.OfferServers(moved)
+	of := func(instance string) []relay.ServerState {
+		return slices.DeleteFunc(n.Core().Servers(), func(s relay.ServerState) bool { return s.Instance != instance })
+	}
+	held := of("server-3")
+	assert.Equal(t, len(held), 1)
+	assert.Equal(t, held[0].Address.String(), "10.9.9.9:80")
+	n.OfferServers(published.Entry{Key: "servers/server-3", Revision: 3, Removed: true})
+	assert.Equal(t, len(of("server-3")), 0)
+	again := serverEntry(3, 4, false)
+	again.Data = bytes.Replace(again.Data, []byte(`"engine"`), []byte(`"board"`), 1)
+	n.OfferServers(again)
+	held = of("server-3")
+	assert.Equal(t, len(held), 1)
+	assert.Equal(t, held[0].Service, "board")
+	assert.Equal(t, len(n.Core().Servers()), 10)
+}
+
 func BenchmarkAChangeOfOneServer(b *testing.B) {
 	for _, servers := range []int{300, 6000, 12000} {
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
--- /dev/null
+++ b/internal/stageplan/chain_request_test.go
@@ -0,0 +1,249 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package stageplan_test
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/wingvale/wingvale/internal/admit"
+	"github.com/wingvale/wingvale/internal/stageplan"
+)
+
+// chainRequest is one request under way.
+type chainRequest struct {
+	*kind
+	number  int
+	at      time.Time
+	pieces  []int
+	depth   []int
+	read    time.Duration
+	tasks   []*stageplan.Task
+	results [][]stageplan.Result
+	ended   []bool
+	freed   []bool
+	// readyAt is when the engine's first event comes; zero before it began.
+	readyAt time.Time
+	// back is when the caller comes back after a refusal.
+	back    time.Time
+	refused int
+	// zone is where its large results are used.
+	zone   string
+	worked time.Duration
+	done   bool
+}
+
+// begin lets a request begin anew at a moment.
+func (r *chainRequest) begin(at time.Time) {
+	r.back = at
+	r.readyAt = time.Time{}
+	clear(r.results)
+	for i := range r.tasks {
+		r.tasks[i], r.ended[i], r.freed[i] = nil, r.pieces[i] == 0, false
+	}
+}
+
+// longest adds up the longest time of each depth.
+func (p *chainPlayer) longest(r *chainRequest, depth int, timeOf func(*stageplan.Scheduler) time.Duration) time.Duration {
+	longest := make(map[int]time.Duration)
+	for i, s := range r.stages {
+		if r.pieces[i] > 0 && r.depth[i] <= depth {
+			longest[r.depth[i]] = max(longest[r.depth[i]], timeOf(p.byName[s.pool].scheduler))
+		}
+	}
+	var total time.Duration
+	for _, t := range longest {
+		total += t
+	}
+	return total
+}
+
+// estimate is how long the stages from a depth on take that are next in their queues.
+func (p *chainPlayer) estimate(r *chainRequest, depth int) time.Duration {
+	return p.longest(r, depth, func(s *stageplan.Scheduler) time.Duration { return s.CallTime() + stageTurn })
+}
+
+// waits is how long the stages wait for their turns that have so much time to wait.
+func (p *chainPlayer) waits(r *chainRequest, slack time.Duration, now time.Time) time.Duration {
+	return p.longest(r, len(r.stages), func(s *stageplan.Scheduler) time.Duration {
+		return s.Queue(now).Before(slack + s.CallTime() + stageplan.PriorityTime(r.priority))
+	})
+}
+
+// admit refuses a request where its pools are too full, or begins it.
+func (p *chainPlayer) admit(r *chainRequest, now time.Time) {
+	r.back = time.Time{}
+	request := admit.Request{
+		Left:      r.at.Add(r.objective).Sub(now),
+		Objective: r.objective,
+		Idle:      p.estimate(r, len(r.stages)) + r.kind.read,
+		Delay:     engineDelay,
+		Deep:      r.deepest(),
+	}
+	if !request.Judged() {
+		return
+	}
+	slack := request.Slack()
+	if p.chances.Float64() < admit.Share(p.waits(r, slack, now), slack) {
+		p.refuse(r, now)
+	}
+}
+
+func (r *chainRequest) deepest() int {
+	deepest := 0
+	for i, depth := range r.depth {
+		if r.pieces[i] > 0 {
+			deepest = max(deepest, depth)
+		}
+	}
+	return deepest
+}
+
+func (p *chainPlayer) refuse(r *chainRequest, now time.Time) {
+	r.refused++
+	p.free(r, true)
+	for _, t := range r.tasks {
+		if t != nil {
+			t.Finish(stageplan.FailureLate)
+		}
+	}
+	if r.refused > 1 {
+		p.settle(r, now, false)
+		return
+	}
+	left := r.at.Add(r.limit).Sub(now)
+	r.begin(now.Add(time.Duration(float64(left) / 3 * (0.5 + 0.5*p.chances.Float64()))))
+}
+
+// settle counts a request.
+func (p *chainPlayer) settle(r *chainRequest, now time.Time, served bool) {
+	r.done = true
+	earned := 0.0
+	took := now.Sub(r.at)
+	switch {
+	case served && took <= r.objective:
+		earned = r.worth
+		p.played.inTime[r.name]++
+	case served:
+		earned = r.late
+		p.played.late[r.name]++
+	default:
+		p.played.lost[r.name]++
+		p.played.wasted += r.worked
+	}
+	if served {
+		p.played.first[r.name] = append(p.played.first[r.name], took)
+	}
+	v := p.played.byKind[r.name]
+	p.played.byKind[r.name] = worth{owed: v.owed + r.worth, earned: v.earned + earned}
+	p.played.owed += r.worth
+	p.played.earned += earned
+	window := int(r.at.Sub(start) / worthWindow)
+	for len(p.played.windowOwed) <= window {
+		p.played.windowOwed = append(p.played.windowOwed, 0)
+		p.played.windowEarned = append(p.played.windowEarned, 0)
+	}
+	p.played.windowOwed[window] += r.worth
+	p.played.windowEarned[window] += earned
+}
+
+// free gives up results that no stage needs any more; all where nothing needs any.
+func (p *chainPlayer) free(r *chainRequest, all bool) {
+	for i, results := range r.results {
+		if len(results) == 0 || r.freed[i] {
+			continue
+		}
+		used := r.depth[i] > 1
+		for other, s := range r.stages {
+			if slices.Contains(s.after, i) && !r.ended[other] {
+				used = false
+			}
+		}
+		if !used && !all {
+			continue
+		}
+		r.freed[i] = true
+		pool := p.byName[r.stages[i].pool]
+		for _, result := range results {
+			pool.states[result.Server].drop(result.Handle)
+			pool.scheduler.Release(result.Server, []string{result.Handle})
+		}
+	}
+}
+
+func (p *chainPlayer) collect(r *chainRequest, now time.Time) {
+	for i, t := range r.tasks {
+		if t == nil || r.ended[i] {
+			continue
+		}
+		failure, ended := t.Ended()
+		if !ended {
+			continue
+		}
+		if failure != "" {
+			p.refuse(r, now)
+			return
+		}
+		r.ended[i] = true
+		r.results[i] = t.Results()
+		for _, result := range t.Results() {
+			if r.stages[i].bytes >= 256<<10 && result.Zone != r.zone {
+				p.played.crossed += r.stages[i].bytes
+			}
+		}
+	}
+	p.free(r, false)
+}
+
+func (p *chainPlayer) startStages(r *chainRequest, now time.Time) {
+	for i, s := range r.stages {
+		if r.tasks[i] != nil || r.ended[i] || !r.ready(i) {
+			continue
+		}
+		after := p.estimate(r, r.depth[i]-1) + r.kind.read + engineDelay
+		w := stageplan.Work{
+			Service: s.pool, Request: fmt.Sprint(r.number, ".", r.refused), Stage: i,
+			Latest: r.at.Add(r.objective - after), Deadline: r.at.Add(r.limit - time.Duration(r.depth[i]-1)*200*time.Millisecond - r.kind.read),
+			Priority: r.priority, ResultBytes: s.bytes, Beside: len(r.stages) > 3 && r.depth[i] == 1 && r.pieces[0] > 0,
+		}
+		if s.bytes >= 256<<10 {
+			w.Zone = r.zone
+		}
+		for j := range r.pieces[i] {
+			w.Pieces = append(w.Pieces, j)
+		}
+		for _, before := range s.after {
+			for range r.results[before] {
+				w.InputBytes += r.stages[before].bytes
+			}
+		}
+		r.tasks[i] = p.byName[s.pool].scheduler.Add(now.Add(-ways/2), w)
+	}
+}
+
+func (r *chainRequest) ready(i int) bool {
+	for _, before := range r.stages[i].after {
+		if !r.ended[before] {
+			return false
+		}
+	}
+	for other := range r.depth {
+		if r.stages[i].bytes >= 256<<10 && r.depth[other] > r.depth[i] && !r.ended[other] {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *chainPlayer) requestOf(name string) *chainRequest {
+	number := 0
+	_, _ = fmt.Sscanf(name, "%d.", &number)
+	for _, r := range p.requests {
+		if r.number == number {
+			return r
+		}
+	}
+	return nil
+}
