publisher, gateway: read little at the return of the store

Each host whose first read had failed read all itself at the return, as did each that was elected for a moment while more and more hosts said that the store answers them.

Ruled out: a longer wait for peers (all would still read at its end).

Change: a host whose read fails waits for peers as one does that yields, for as long as the store answers nobody; one that comes to watch goes on from the revision up to which it has every key, instead of reading all. Parts of a division are scored from one buffer.

--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -31,6 +31,8 @@
 	entries []entry
 	// serving is how many hosts serve callers: those that leave still do.
 	serving int
+	// reading is how many others the publisher answers.
+	reading int
 }
 
 // entry is a host that callers may use.
@@ -63,6 +65,9 @@
 		peers = append(peers, n.self())
 	}
 	for _, m := range n.view.Members() {
+		if m.Reads && m.State == fleet.StateLive {
+			known.reading++
+		}
 		switch m.State {
 		case fleet.StateLive:
 			known.serving++
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -208,8 +208,8 @@
 	// backoffMost bounds the pause between tries to reach the publisher, so
 	// that its return is noticed in time.
 	backoffMost = 500 * time.Millisecond
-	// hadMost is how long a host that starts waits for what its peers have before it
-	// reads all itself.
+	// hadMost is how long a host that starts waits for what its peers have, once the
+	// publisher answers one of them, before it reads all itself.
 	hadMost = 3 * time.Second
 	// watchPause gathers changes that come in a row, as when many servers
 	// start; it is small beside the 2 s in which a change must be in force.
@@ -248,6 +248,7 @@
 		Store:    store,
 		Must:     func() bool { return n.mustWatch(space) },
 		Had:      func(ctx context.Context, yield func()) uint64 { return n.had(ctx, space, yield) },
+		Through:  func() uint64 { return store.Summary().Through },
 		Answers:  func(answers bool) { n.answers(space, answers) },
 		Accepted: func(entries []published.Entry) { n.watched(space, entries) },
 		Brought: func(after, through uint64, entries []published.Entry) {
@@ -297,23 +298,27 @@
 }
 
 // had waits until peers have told all of a space, where others watch it: see
-// publisher.WatcherOptions.
+// publisher.WatcherOptions. While the publisher answers none of them there is nothing to be
+// told, and nothing to be read either.
 func (n *Node) had(ctx context.Context, space publisher.Space, yield func()) uint64 {
 	select {
 	case <-ctx.Done():
 		return 0
 	case <-n.settled:
 	}
-	if n.watches(space) {
-		return 0
-	}
-	yield()
 	store := n.stores[space]
-	until := time.Now().Add(hadMost)
-	for ctx.Err() == nil && time.Now().Before(until) {
+	var told time.Time
+	for ctx.Err() == nil && !n.watches(space) {
+		yield()
 		if through := store.Summary().Through; through > 0 {
 			return through
 		}
+		if told.IsZero() && n.hosts.now().reading > 0 {
+			told = time.Now()
+		}
+		if !told.IsZero() && time.Since(told) >= hadMost {
+			return 0
+		}
 		sleep(ctx, beginEvery)
 	}
 	return 0
--- a/internal/owner/divided.go
+++ b/internal/owner/divided.go
@@ -19,13 +19,11 @@
 // hashes from all others, and leaves the rest where they are.
 func Part(hash uint64, parts int) int {
 	best, highest := 0, uint64(0)
-	var number [8]byte
+	var key [16]byte
+	binary.LittleEndian.PutUint64(key[:], hash)
 	for i := range max(parts, 1) {
-		binary.LittleEndian.PutUint64(number[:], uint64(i))
-		var d xxhash.Digest
-		d.ResetWithSeed(hash)
-		_, _ = d.Write(number[:])
-		if score := d.Sum64(); i == 0 || score > highest {
+		binary.LittleEndian.PutUint64(key[8:], uint64(i))
+		if score := xxhash.Sum64(key[:]); i == 0 || score > highest {
 			best, highest = i, score
 		}
 	}
--- a/internal/publisher/watcher.go
+++ b/internal/publisher/watcher.go
@@ -60,7 +60,11 @@
 	// returns the revision up to which the store has every key by then, or 0 where this
 	// node must read all itself. Nil is that it must. A whole fleet that starts and reads
 	// all keys takes as long as its publisher's link needs for hosts times keys.
-	Had      func(ctx context.Context, yield func()) uint64
+	Had func(ctx context.Context, yield func()) uint64
+	// Through returns the revision up to which the store has every key, by whatever way;
+	// nil is not known. A node that comes to watch goes on from there instead of reading
+	// all.
+	Through  func() uint64
 	Accepted Accepted
 	// Brought is told of all changes after one revision through another that a watch
 	// brought, also those that came by another way before; and, with no revisions, of
@@ -120,8 +124,8 @@
 	backoff := backoffFirst
 	for ctx.Err() == nil {
 		if started && !w.options.Must() {
-			listed = time.Time{}
 			sleep(ctx, idleCheck)
+			after, listed = w.resume(after)
 			continue
 		}
 		full := time.Since(listed) > fullReadEvery
@@ -162,7 +166,7 @@
 			call(w.options.Regained)
 			w.tell(true)
 		}
-		if time.Since(listed) > fullReadEvery && !spared {
+		if time.Since(listed) > fullReadEvery {
 			listed = time.Now()
 		}
 		if !started {
@@ -190,12 +194,23 @@
 	had := make(chan uint64, 1)
 	go func() { had <- w.options.Had(waiting, yield) }()
 	next, err := w.step(reading, 0, true)
-	if err != nil && reading.Err() != nil {
+	if err != nil {
+		// Others may reach the source sooner; all that read again at its return would
+		// fill its link.
 		return <-had, false
 	}
 	stop()
 	<-had
-	return next, err == nil
+	return next, true
+}
+
+// resume returns from which revision on a node watches that comes to do so, and when it
+// counts as having read all keys; zero is that it is to.
+func (w *Watcher) resume(after uint64) (uint64, time.Time) {
+	if w.options.Through == nil {
+		return after, time.Time{}
+	}
+	return max(after, w.options.Through()), time.Now()
 }
 
 // begin is step, but for a node that others have told all: it reads what has changed
