placing: count whole prefills at the homes of a new owner's prompts

Callers saw: after the owner of an engine shard was lost, up to twice as many streams with a pause over their limit; and more in the first 20 s of every owner.

Cause: while an owner is new, it assumes that a prompt's home lacks 0.3 of the shared parts. The load model compared that shortened prefill with the gap limits of the streams that run there, so the streams that the real one stalls seemed unharmed.

The known cause, unknown running streams, does not hold.

Change: where the load model decides, the prefill counts whole. Without the model the discount is kept.

--- a/internal/placing/load_test.go
+++ b/internal/placing/load_test.go
@@ -136,3 +136,33 @@
 	t.Logf("slow, medium and fast engines got %v of 60 prompts", bySpeed)
 	assert.Assert(t, 3*bySpeed[0] <= 2*bySpeed[1] && bySpeed[1] < bySpeed[2], "%v", bySpeed)
 }
+
+// Guards against an owner that, in its first seconds, counts only a part of the prefill at a prompt's
+// home: the stall of the streams that run there then seems harmless.
+func TestNewOwnerCountsWholePrefillAgainstRunningStreams(t *testing.T) {
+	list := engines(2)
+	for i := range list {
+		list[i].Zone, list[i].LoadAware, list[i].Slots, list[i].EventTokens = "a", true, 12, eventTokens
+	}
+	for key := range uint64(20) {
+		s := newScheduler(list...)
+		s.LearnPace("e0", 24*time.Millisecond)
+		s.LearnPace("e1", 24*time.Millisecond)
+		p := prompt(key + 1)
+		p.SharedTokens, p.FirstTokens, p.ID = 12000, 12000, 2
+		home := placing.Home([]string{"e0", "e1"}, p)
+		// The engines differ in speed, and the home is the faster one.
+		s.LearnPace(home, 16*time.Millisecond)
+		s.LearnPace(home, 16*time.Millisecond)
+		other := "e0"
+		if home == "e0" {
+			other = "e1"
+		}
+		running := placing.Prompt{OwnTokens: 500, TokensOut: 400, GapLimit: unevenGapLimit, ID: 1, Excluded: []string{other}}
+		for range 2 {
+			assert.Equal(t, s.Place(start, running).Instance, home)
+			running.ID += 10
+		}
+		assert.Equal(t, s.Place(start.Add(time.Second), p).Instance, other, "prompt %d stalls the streams at its home", key+1)
+	}
+}
--- a/internal/placing/scheduler.go
+++ b/internal/placing/scheduler.go
@@ -42,7 +42,8 @@
 	rankPenalty = 10 * time.Millisecond
 	// newOwnerMissShare is the share of a prompt's shared parts that the prompt's home is
 	// assumed to lack while the owner is new and has no record of them. After newOwnerPeriod
-	// it has seen most of them.
+	// it has seen most of them. The load model does not use it: the streams that a prefill stalls
+	// depend on its whole length, which an average understates.
 	newOwnerMissShare = 0.3
 	newOwnerPeriod    = 20 * time.Second
 	// minHomes is the fewest engines that cache a first shared part, and maxHomeShare the
@@ -341,7 +342,7 @@
 func (s *Scheduler) cost(now time.Time, e *engine, p Prompt, ranks map[string]int, source cacheHolder) time.Duration {
 	missing := s.missing(now, e, p)
 	rank, isHome := ranks[e.Instance]
-	if isHome && rank == 0 && now.Sub(s.ownerSince) < newOwnerPeriod {
+	if isHome && rank == 0 && !s.usesModel(e) && now.Sub(s.ownerSince) < newOwnerPeriod {
 		missing = int(newOwnerMissShare * float64(missing))
 	}
 	plan := newReadPlan(e, p, missing, source)
--- a/internal/placing/uneven_test.go
+++ b/internal/placing/uneven_test.go
@@ -133,9 +133,14 @@
 	ratio float64
 }
 
-// unevenReplay replays the load on engines of three speeds. From takeover on, a new owner that has
-// only the paces that other hosts observed places the prompts; 0 means never.
+// unevenReplay replays the load of seed 1.
 func unevenReplay(loadAware bool, engines int, span, takeover time.Duration) unevenOutcome {
+	return unevenReplayOfSeed(loadAware, engines, span, takeover, 1)
+}
+
+// unevenReplayOfSeed replays the load on engines of three speeds. From takeover on, a new owner that
+// has only the paces that other hosts observed places the prompts; 0 means never.
+func unevenReplayOfSeed(loadAware bool, engines int, span, takeover time.Duration, seed uint64) unevenOutcome {
 	kinds := unevenLoad(engines)
 	pool := make(map[string]*unevenEngine)
 	var list []placing.Engine
@@ -153,7 +158,7 @@
 	var ratios []float64
 	o := unevenOutcome{}
 	taken := false
-	for id, a := range arrivals(kinds, span, 1) {
+	for id, a := range arrivals(kinds, span, seed) {
 		now := start.Add(a.at)
 		if takeover > 0 && a.at >= takeover && !taken {
 			taken = true
@@ -247,3 +252,16 @@
 	t.Logf("one owner %+v, a new owner %+v", kept, lost)
 	assert.Check(t, lost.stalled+lost.lateFirst <= (kept.stalled+kept.lateFirst)*3/2, "%d late with a new owner, %d without", lost.stalled+lost.lateFirst, kept.stalled+kept.lateFirst)
 }
+
+// The owner of the engines is lost, on several loads. Guards against a new owner
+// that understates the prefill at a prompt's home, and stalls the streams that run there.
+func TestNewOwnerStallsFewStreamsOnManyLoads(t *testing.T) {
+	const span = 30 * time.Second
+	kept, lost := 0, 0
+	for seed := range uint64(5) {
+		one, other := unevenReplayOfSeed(true, 70, span, 0, seed+1), unevenReplayOfSeed(true, 70, span, span/2, seed+1)
+		t.Logf("seed %d: one owner %+v, a new owner %+v", seed+1, one, other)
+		kept, lost = kept+one.stalled+one.lateFirst, lost+other.stalled+other.lateFirst
+	}
+	assert.Check(t, 2*lost <= 3*kept, "%d late with a new owner, %d without", lost, kept)
+}
