exchange, relay: find silent connections to backend servers out together

Callers saw: when a host's open connections to backend servers fell silent, resumable streams ended with 502 after 0.95 s, and others took over 1 s, up to seconds later.

Cause: a connection counted as silent only once its call was cancelled (0.9 s), so that further requests took the other idle connections to that server; and nothing was concluded for other servers. With the load model a host has connections to more engines, and needed more retries than it has.

Change: a reused connection without a byte after three times the expected first event closes the idle ones to its server; at two servers within 2 s, with no older connection answering meanwhile, all idle ones.

TestSlowServersDoNotCloseConnectionsToOthers is the opposite fault.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/wingvale/wingvale/internal/peek"
@@ -17,17 +18,18 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// idleSince is when the connection was returned to the pool, and expiresAt when the
-	// server may close it.
+	// openedAt is when the connection was opened, idleSince when it was returned to the pool, and
+	// expiresAt when the server may close it.
+	openedAt  time.Time
 	idleSince time.Time
 	expiresAt time.Time
 	// received reports whether any byte has arrived since the connection was last taken
 	// from the pool.
-	received bool
+	received atomic.Bool
 }
 
 func newConn(c net.Conn) *conn {
-	n := &conn{Conn: c}
+	n := &conn{Conn: c, openedAt: time.Now()}
 	n.reader = bufio.NewReaderSize(n, readBufferSize)
 	return n
 }
@@ -36,7 +38,7 @@
 func (c *conn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
 	if n > 0 {
-		c.received = true
+		c.received.Store(true)
 	}
 	return n, err
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -30,6 +30,9 @@
 	// without receiving a byte for the other idle connections to that server to be
 	// considered silent too. It is many times a server's usual response time.
 	silenceThreshold = 200 * time.Millisecond
+	// silenceWindow is how soon after each other the connections to two servers must turn out
+	// to be silent for all older idle connections to be considered silent too.
+	silenceWindow = 2 * time.Second
 )
 
 // Call is a request to a backend server.
@@ -45,6 +48,9 @@
 	// NewConnection requires a new connection. The server may be about to close an idle
 	// one, and then it is unknown whether the request ran.
 	NewConnection bool
+	// SilentAfter is how long the call may wait on a reused connection without receiving a
+	// byte before that connection is considered silent, at least 200 ms. 0 means until ctx ends.
+	SilentAfter time.Duration
 	// Matches reports whether an answer belongs to the request. Other answers are skipped:
 	// they are late answers to earlier requests. If Matches is nil, any answer is accepted.
 	Matches func(status int, header http.Header) bool
@@ -80,17 +86,28 @@
 		}
 	}
 	began := time.Now()
-	c.received = false
+	c.received.Store(false)
 	e := &exchange{pool: p, call: call, conn: c}
 	e.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	if reused && call.SilentAfter > 0 {
+		overdue := time.AfterFunc(max(call.SilentAfter, silenceThreshold), func() {
+			if !c.received.Load() {
+				p.recordSilence(call.Address, began)
+			}
+		})
+		defer overdue.Stop()
+	}
 	answer, err := e.roundTrip()
 	if err != nil {
 		e.abandon()
-		if reused && !c.received && ctx.Err() != nil && time.Since(began) >= silenceThreshold {
-			p.closeIdleSince(call.Address, began)
+		if reused && !c.received.Load() && ctx.Err() != nil && time.Since(began) >= silenceThreshold {
+			p.recordSilence(call.Address, began)
 		}
 		return nil, err
 	}
+	if reused {
+		p.recordAnswer(c.openedAt, time.Now())
+	}
 	answer.Reused = reused
 	return answer, nil
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -397,3 +397,94 @@
 		assert.Equal(t, pool.Opened(), opened)
 	})
 }
+
+// site is a pool and three servers in memory, which answer after 10 ms unless the request says otherwise.
+type site struct {
+	network *memnet.Network
+	pool    *exchange.Pool
+	servers []netip.AddrPort
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{network: memnet.New(nil)}
+	s.pool = exchange.NewPool(s.network.Dialer(caller))
+	t.Cleanup(s.pool.Close)
+	for i := range 3 {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i + 1)}), 80)
+		l, err := s.network.Listen(address)
+		assert.NilError(t, err)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Id", r.Header.Get("Id"))
+			delay, _ := time.ParseDuration(r.Header.Get("Delay"))
+			time.Sleep(10*time.Millisecond + delay)
+		})}
+		go func() { _ = server.Serve(l) }()
+		t.Cleanup(func() { _ = server.Close() })
+		s.servers = append(s.servers, address)
+	}
+	return s
+}
+
+// ask sends a request that is expected to take 100 ms to a server, which takes the given time longer.
+func (s *site) ask(ctx context.Context, server int, delay, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	call := get(fmt.Sprint(server, delay))
+	call.Address, call.SilentAfter = s.servers[server], 250*time.Millisecond
+	call.Header.Set("Delay", delay.String())
+	a, err := s.pool.Do(ctx, call)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, a.Body)
+	return err
+}
+
+// Guards against requests that wait on further silent connections while the first one to find out
+// still waits, and against each server's silent connections being found out one by one.
+func TestSilenceIsFoundOutBeforeTheCallEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		var all sync.WaitGroup
+		for server := range 3 {
+			for range 2 {
+				all.Go(func() { assert.Check(t, s.ask(t.Context(), server, 0, time.Second)) })
+			}
+		}
+		all.Wait()
+		s.network.Silence(func(_, _ netip.Addr) bool { return true })
+		for server := range 2 {
+			all.Go(func() { assert.Check(t, s.ask(t.Context(), server, 0, 2*time.Second) != nil) })
+		}
+		time.Sleep(300 * time.Millisecond)
+		for server := range 3 {
+			assert.NilError(t, s.ask(t.Context(), server, 0, 50*time.Millisecond), "server %d", server)
+		}
+		all.Wait()
+	})
+}
+
+// Guards against slow servers making a host drop its working connections to others.
+func TestSlowServersDoNotCloseConnectionsToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		for server := range 3 {
+			assert.NilError(t, s.ask(t.Context(), server, 0, time.Second))
+		}
+		time.Sleep(2500 * time.Millisecond)
+		var all sync.WaitGroup
+		for server := range 2 {
+			all.Go(func() { assert.Check(t, s.ask(t.Context(), server, 600*time.Millisecond, 2*time.Second)) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		assert.NilError(t, s.ask(t.Context(), 2, 0, time.Second))
+		all.Wait()
+		opened := s.pool.Opened()
+		assert.Equal(t, opened, int64(3))
+		for server := range 3 {
+			assert.NilError(t, s.ask(t.Context(), server, 0, time.Second))
+		}
+		assert.Equal(t, s.pool.Opened(), opened, "connections were opened again")
+	})
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -46,6 +46,11 @@
 	idle   map[netip.AddrPort][]*conn
 	opened int64
 	closed bool
+	// silentAt is when a reused connection to silentAddress turned out to be silent last.
+	silentAddress netip.AddrPort
+	silentAt      time.Time
+	// answeredAt is when a reused connection older than silenceWindow carried an answer last.
+	answeredAt time.Time
 }
 
 // NewPool returns an empty pool.
@@ -107,12 +112,39 @@
 	}
 }
 
-// closeIdleSince closes the connections to an address that have been idle since before a
-// point in time. One such connection has fallen silent, so the others may have too; used
-// one after another, each would make a request wait in vain.
-func (p *Pool) closeIdleSince(address netip.AddrPort, before time.Time) {
+// recordSilence records that a call that began on an idle connection has received nothing, and
+// closes idle connections that may be silent too: those to the same server, and if the same has
+// happened at another server while no older connection carried an answer, those to all servers.
+// Otherwise each of them would make a request wait in vain. Connections that were used after the
+// call began are kept.
+func (p *Pool) recordSilence(address netip.AddrPort, began time.Time) {
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	elsewhere := p.silentAddress != address && now.Sub(p.silentAt) < silenceWindow
+	p.silentAddress, p.silentAt = address, now
+	if !elsewhere || p.answeredAt.After(began) {
+		p.closeIdleSince(address, began)
+		return
+	}
+	for address := range p.idle {
+		p.closeIdleSince(address, began)
+	}
+}
+
+// recordAnswer records that a reused connection carried an answer.
+func (p *Pool) recordAnswer(openedAt, now time.Time) {
+	if now.Sub(openedAt) < silenceWindow {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answeredAt = now
+}
+
+// closeIdleSince closes the connections to an address that have been idle since before a
+// point in time. The caller must hold p.mu.
+func (p *Pool) closeIdleSince(address netip.AddrPort, before time.Time) {
 	kept := p.idle[address][:0]
 	for _, c := range p.idle[address] {
 		if c.idleSince.After(before) {
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -41,6 +41,7 @@
 		}),
 		Body:          j.Body,
 		NewConnection: j.needsNewConnection(),
+		SilentAfter:   overdueFactor * j.placement.Expected,
 		Matches:       func(status int, h http.Header) bool { return o.Dialect.Matches(j.ID, status, h) },
 	}
 	j.recordSend(s)
