stageplan, stagepool: accept the answers of overdue stage calls

Callers saw: where all stage servers are much slower than published, requests failed with most of their time left: 18, 16, 0 and 0 of 20 served at 5, 10, 16 and 25 times the published time.

Cause: a call was cancelled at twice its expected time and its pieces sent again. The server works on, the next call queues behind it, and each piece ran out of its four sends before any answer; no answer was ever taken, so the servers' pace was not learnt either.

Evidence: at 16 times a piece has four overdue calls within a second, and no call of these requests is answered.

Change: pieces of an overdue call are sent again as before, but its answer is accepted. A piece fails only when no call may answer any more. Overdue calls that nobody waits for are cancelled; results that arrive for nobody are released.

--- a/internal/stageplan/outcome.go
+++ b/internal/stageplan/outcome.go
@@ -10,10 +10,11 @@
 	"time"
 )
 
-// AbandonOverdue abandons the calls that take far too long: either the answer was lost or the
-// server is much slower than before. It returns them and reports whether it must be called
-// again for the remaining calls. Their results occupy memory until they expire.
-func (s *Scheduler) AbandonOverdue(now time.Time) (late []*Call, again bool) {
+// ResendOverdue sends the pieces of calls that take far too long again: either the answer was lost
+// or the server is much slower than before. It returns these calls and reports whether it must be
+// called again for the remaining ones. Their answers are accepted if they arrive after all; until
+// then their results occupy memory as if they had been lost.
+func (s *Scheduler) ResendOverdue(now time.Time) (late []*Call, again bool) {
 	for _, state := range s.servers {
 		for _, b := range slices.Clone(state.running) {
 			if b.cancelled {
@@ -27,14 +28,15 @@
 			}
 			late = append(late, b)
 			s.remove(b)
-			b.abandoned = true
+			b.overdue = true
+			s.overdue = append(s.overdue, b)
 			state.recordOverdue(now.Sub(b.startedAt).Seconds() / s.nominalTime(len(b.items)).Seconds())
 			state.unavailableUntil = now.Add(fullBackoff)
 			s.reserveLost(now, b)
 			s.resend(b.items)
 		}
 	}
-	return late, again
+	return late, again || len(s.overdue) > 0
 }
 
 // overdueAfter returns how long a call with the given expected time is awaited.
@@ -46,7 +48,25 @@
 // they expire.
 func (s *Scheduler) reserveLost(now time.Time, b *Call) {
 	b.server.used -= b.bytes
-	b.server.reserve(fmt.Sprintf("lost %d", b.startedAt.UnixNano()), b.bytes, now.Add(s.spec.ResultTTL))
+	b.server.reserve(b.lostHandle(), b.bytes, now.Add(s.spec.ResultTTL))
+}
+
+// lostHandle stands for the results of a call without an answer.
+func (c *Call) lostHandle() string {
+	return fmt.Sprintf("lost %d", c.startedAt.UnixNano())
+}
+
+// end removes a call whose answer has arrived or is no longer awaited, with the memory that is
+// reserved for it.
+func (s *Scheduler) end(b *Call) {
+	b.settle()
+	if !b.overdue {
+		s.remove(b)
+		b.server.used -= b.bytes
+		return
+	}
+	s.overdue = slices.DeleteFunc(s.overdue, func(other *Call) bool { return other == b })
+	b.server.release(b.lostHandle())
 }
 
 // CancelUnwanted returns the calls to cancel because no caller has waited for their pieces for
@@ -69,6 +89,15 @@
 			}
 		}
 	}
+	for _, b := range slices.Clone(s.overdue) {
+		if !b.unwanted() {
+			continue
+		}
+		s.overdue = slices.DeleteFunc(s.overdue, func(other *Call) bool { return other == b })
+		b.settle()
+		b.cancelled = true
+		cancelled = append(cancelled, b)
+	}
 	return cancelled, again
 }
 
@@ -78,11 +107,13 @@
 		return
 	}
 	s.remove(b)
+	b.settle()
 	b.abandoned = true
 	s.reserveLost(now, b)
 }
 
-// resend queues pieces again.
+// resend queues pieces again. A piece that was sent too often fails its task, unless another call
+// may still answer.
 func (s *Scheduler) resend(items []callItem) {
 	for _, item := range items {
 		t := item.task
@@ -90,7 +121,9 @@
 			continue
 		}
 		if t.attempts[item.position] >= maxAttempts {
-			t.Finish(FailureFailed)
+			if t.inFlight[item.position] == 0 {
+				t.Finish(FailureFailed)
+			}
 			continue
 		}
 		if len(t.pending) == 0 && !slices.Contains(s.waiting, t) {
@@ -106,8 +139,7 @@
 	if b.abandoned || b.cancelled {
 		return
 	}
-	s.remove(b)
-	b.server.used -= b.bytes
+	s.end(b)
 	if full {
 		b.server.unavailableUntil = now.Add(s.fullBackoffTime(b.server) << min(b.server.consecutiveFull, maxFullDoublings))
 		b.server.consecutiveFull++
@@ -127,8 +159,7 @@
 	if b.abandoned || b.cancelled {
 		return
 	}
-	s.remove(b)
-	b.server.used -= b.bytes
+	s.end(b)
 	for _, item := range b.items {
 		item.task.attempts[item.position]--
 	}
@@ -147,14 +178,13 @@
 	if b.abandoned || b.cancelled {
 		return nil
 	}
-	s.remove(b)
+	s.end(b)
 	state := b.server
 	state.failures, state.consecutiveFull = 0, 0
 	state.recordAnswer()
 	if s.spec.LoadAware {
 		state.load.recordEnd(now)
 	}
-	state.used -= b.bytes
 	if allMade(outcomes) {
 		state.slowdown += slowdownGain * (now.Sub(b.startedAt).Seconds()/s.nominalTime(len(b.items)).Seconds() - state.slowdown)
 	}
@@ -228,9 +258,6 @@
 		return
 	}
 	for _, handle := range handles {
-		if h, ok := state.held[handle]; ok {
-			state.used -= h.bytes
-			delete(state.held, handle)
-		}
+		state.release(handle)
 	}
 }
--- a/internal/stageplan/scheduler.go
+++ b/internal/stageplan/scheduler.go
@@ -62,6 +62,8 @@
 	servers  map[netip.AddrPort]*serverState
 	// waiting has the tasks with pending pieces.
 	waiting []*Task
+	// overdue has the calls whose pieces were sent again and whose answers are still accepted.
+	overdue []*Call
 	// recentCallTime is the moving average of the nominal times of calls, 0 before the first.
 	recentCallTime time.Duration
 	// piecesPerSecond is the throughput averaged over throughputWindow, as of rateUpdatedAt.
@@ -118,6 +120,7 @@
 		arrivedAt: now,
 		results:   make([]Result, len(w.Pieces)),
 		attempts:  make([]int, len(w.Pieces)),
+		inFlight:  make([]int, len(w.Pieces)),
 		missing:   len(w.Pieces),
 		done:      make(chan struct{}),
 	}
--- a/internal/stageplan/server.go
+++ b/internal/stageplan/server.go
@@ -57,6 +57,14 @@
 	s.held[handle] = heldResult{bytes: bytes, expires: expires}
 }
 
+// release undoes reserve, unless the result has expired.
+func (s *serverState) release(handle string) {
+	if h, ok := s.held[handle]; ok {
+		s.used -= h.bytes
+		delete(s.held, handle)
+	}
+}
+
 // ServerState is the scheduler's view of a server, for inspection.
 type ServerState struct {
 	Address  netip.AddrPort `json:"address"`
--- a/internal/stageplan/task.go
+++ b/internal/stageplan/task.go
@@ -12,8 +12,10 @@
 	results   []Result
 	// pending has the indexes of the pieces that wait to be sent.
 	pending []int
-	// attempts counts the sends of each piece.
+	// attempts counts the sends of each piece, and inFlight the calls whose answers may still
+	// contain it.
 	attempts []int
+	inFlight []int
 	// missing is the number of pieces without a result.
 	missing int
 	// deferred says that the task goes after those that can be in time, either because it is
@@ -87,6 +89,11 @@
 	startedAt time.Time
 	expected  time.Duration
 	bytes     int64
+	// overdue says that the call's pieces were sent again and that its slot counts as free, since
+	// its answer may be lost. The answer is still accepted.
+	overdue bool
+	// settled says that the call no longer counts in inFlight of its tasks.
+	settled bool
 	// abandoned says that the answer is no longer awaited.
 	abandoned bool
 	// unwantedSince is when no task was first found waiting for its pieces. It is zero while
@@ -153,10 +160,22 @@
 		c.items = append(c.items, callItem{task: t, position: position})
 		c.bytes += t.ResultBytes
 		t.attempts[position]++
+		t.inFlight[position]++
 		t.pending = t.pending[1:]
 	}
 }
 
+// settle records that the call's answer has arrived or is no longer awaited.
+func (c *Call) settle() {
+	if c.settled {
+		return
+	}
+	c.settled = true
+	for _, item := range c.items {
+		item.task.inFlight[item.position]--
+	}
+}
+
 // TakeResults returns the results of a failed task and clears them, so that each is returned
 // once.
 func (t *Task) TakeResults() []Result {
--- a/internal/stagepool/cancel_test.go
+++ b/internal/stagepool/cancel_test.go
@@ -76,6 +76,26 @@
 	})
 }
 
+// An overdue call is still awaited, but not longer than its caller waits. Guards against servers that
+// work on for callers that have left.
+func TestOverdueCallsAreCancelledWhenTheirCallerGivesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		spec := slowSpec
+		spec.CallTime = 100 * time.Millisecond
+		s, g := startHanging(ctx, spec)
+		runWithTimeout(ctx, g, "x", time.Second)
+		time.Sleep(100 * time.Millisecond)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		assert.Assert(t, len(s.callTimes) >= 2, "the call was sent again")
+		for _, callTime := range s.callTimes {
+			assert.Assert(t, callTime <= 1100*time.Millisecond, "kept %v", callTime)
+		}
+	})
+}
+
 // A call is not cancelled when only one of its two callers gives up.
 func TestCallContinuesWhileOneCallerWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/stagepool/pool.go
+++ b/internal/stagepool/pool.go
@@ -150,13 +150,13 @@
 	return answer
 }
 
-// dispatch cancels overdue and unwanted calls, and sends calls while the scheduler has
+// dispatch sends the pieces of overdue calls again, cancels unwanted calls, and sends calls while the scheduler has
 // any. It schedules another run while work is left. The mutex must be held.
 func (p *Pool) dispatch() {
 	now := time.Now()
-	overdue, recheckNeeded := p.scheduler.AbandonOverdue(now)
+	overdue, recheckNeeded := p.scheduler.ResendOverdue(now)
 	for _, c := range overdue {
-		p.cancelOverdue(now, c)
+		p.recordOverdue(now, c)
 	}
 	unwanted, moreUnwanted := p.scheduler.CancelUnwanted(now)
 	recheckNeeded = recheckNeeded || moreUnwanted
@@ -198,9 +198,8 @@
 		Info("long wait for stage servers")
 }
 
-// cancelOverdue cancels an overdue call; the scheduler has already rescheduled its pieces.
-func (p *Pool) cancelOverdue(now time.Time, c *stageplan.Call) {
-	p.cancels[c]()
+// recordOverdue records an overdue call, whose pieces the scheduler has rescheduled.
+func (p *Pool) recordOverdue(now time.Time, c *stageplan.Call) {
 	p.scope.Counter("calls_overdue").Inc(1)
 	p.log.WithFields(logrus.Fields{
 		"server": c.Server().Address, "instance": c.Server().Instance, "pieces": len(c.Items()),
