gateway: count as ready only with known backend servers

Callers saw: after the loss of all hosts, with a slow store, hosts that said they were ready answered 503, "no server".

Cause: 2 s after its start a host counts as ready with the values of the store or of a peer. Peers that have just started have none, and only the configuration was checked for being there.

Evidence: three hosts, 1.5 s for each answer of the store: ready after 2.03 s, all three refuse; the servers, several pages, are read after 3 s.

Change: a host is ready once it also knows servers, or has read that there are none.

Failed before: TestHostsThatKnowNoServersAreNotReady (3 of 3 hosts).

--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -39,8 +39,8 @@
 	announceFanout = 8
 )
 
-// bringUp makes the node ready once it has the values of the publisher and of peers, and then
-// keeps contacting the seeds.
+// bringUp makes the node ready once it has the values of the publisher and of peers, or after a while
+// those of one of them, and then keeps contacting the seeds.
 func (n *Node) bringUp(ctx context.Context) {
 	readyDeadline := time.Now().Add(n.settings.ReadyAfter)
 	for tries := 0; ctx.Err() == nil; tries++ {
@@ -50,7 +50,7 @@
 		synced := n.syncWithPeers(ctx)
 		read := n.hasRead()
 		waiting := time.Now().Before(readyDeadline)
-		known := n.core.Catalog() != nil
+		known := n.core.Catalog() != nil && n.knowsServers()
 		if known && (read && synced || !waiting && (read || synced)) {
 			n.ready.Store(true)
 			n.log.WithField("read", read).WithField("met", synced).Info("ready")
@@ -96,6 +96,13 @@
 	n.log.WithFields(logrus.Fields{"hosts": n.serving(), "after_ms": time.Since(n.start).Milliseconds()}).Info("owners of pools are known")
 }
 
+// knowsServers reports whether the node knows backend servers, or knows that there are none. Peers that
+// have just started may know none yet.
+func (n *Node) knowsServers() bool {
+	summary := n.listed.Summary()
+	return summary.Through > 0 || summary.Sum != 0
+}
+
 // hasRead reports whether all spaces have been read from the publisher once.
 func (n *Node) hasRead() bool {
 	for _, w := range n.watchers {
