stageplan: give back the memory of all lost calls

Callers would see: work that waits for room on stage servers with two and more slots that have room. Not seen on a deployment, whose stage servers have one slot.

Cause: the memory of a lost call's results is recorded under the time at which it began, so that two calls to one server that began together share a record, added twice and given back once.

Evidence and failed before: TestLostResultsOfSimultaneousCallsExpire, 8 MB of 16 still taken after 20 s.

Change: calls have numbers, and the record goes by them. Measured: the test passes, nothing is left.

--- a/internal/stageplan/outcome.go
+++ b/internal/stageplan/outcome.go
@@ -53,7 +53,7 @@
 
 // lostHandle stands for the results of a call without an answer.
 func (c *Call) lostHandle() string {
-	return fmt.Sprintf("lost %d", c.startedAt.UnixNano())
+	return fmt.Sprintf("lost %d", c.number)
 }
 
 // end removes a call whose answer has arrived or is no longer awaited, with the memory that is
--- a/internal/stageplan/scheduler.go
+++ b/internal/stageplan/scheduler.go
@@ -64,6 +64,8 @@
 	waiting []*Task
 	// overdue has the calls whose pieces were sent again and whose answers are still accepted.
 	overdue []*Call
+	// callCount counts the calls built so far.
+	callCount int
 	// recentCallTime is the moving average of the nominal times of calls, 0 before the first.
 	recentCallTime time.Duration
 	// piecesPerSecond is the throughput averaged over throughputWindow, as of rateUpdatedAt.
@@ -300,7 +302,7 @@
 
 // fill builds a call for a server. It returns nil if no task fits.
 func (s *Scheduler) fill(now time.Time, state *serverState, limits callLimits, zones map[string]bool) *Call {
-	call := &Call{server: state, target: state.Server, startedAt: now}
+	call := &Call{server: state, target: state.Server, startedAt: now, number: s.callCount}
 	room := s.spec.ResultCapacity - state.used
 	for _, t := range s.waiting {
 		if !s.zoneAllows(now, t, state, zones) || limits.skipRetries && t.hasRetries() && now.Sub(t.arrivedAt) < retryWaitLimit {
@@ -320,6 +322,7 @@
 	}
 	s.waiting = slices.DeleteFunc(s.waiting, func(t *Task) bool { return len(t.pending) == 0 })
 	call.expected = s.expected(state.awaitedPace(now), len(call.items))
+	s.callCount++
 	nominalTime := s.nominalTime(len(call.items))
 	s.recentCallTime = s.CallTime() + (nominalTime-s.CallTime())/averageWeight
 	state.used += call.bytes
--- a/internal/stageplan/scheduler_test.go
+++ b/internal/stageplan/scheduler_test.go
@@ -151,6 +151,25 @@
 	assert.Equal(t, task.Results()[0].Server, calls[0].Server().Address)
 }
 
+// Two calls were sent to one server at the same time and lost. Guards against memory that stays taken.
+func TestLostResultsOfSimultaneousCallsExpire(t *testing.T) {
+	two := spec
+	two.Slots = 2
+	s := newScheduler(two, server(1, "a"))
+	for _, name := range []string{"x", "y"} {
+		w := work(name, 8)
+		w.ResultBytes = 1e6
+		s.Add(start, w)
+	}
+	next(t, s, start)
+	next(t, s, start)
+	now := start.Add(time.Second)
+	assert.Equal(t, overdue(s, now), 2)
+	s.Add(now.Add(20*time.Second), work("z", 1))
+	s.Next(now.Add(20 * time.Second))
+	assert.Equal(t, s.Servers()[0].Used, int64(0))
+}
+
 // Guards against a task that waits for its deadline when no call can answer any more.
 func TestPieceFailsOnceNoCallMayAnswer(t *testing.T) {
 	s := newScheduler(spec, server(1, "a"), server(2, "a"))
--- a/internal/stageplan/task.go
+++ b/internal/stageplan/task.go
@@ -82,6 +82,8 @@
 
 // Call is one call to one server.
 type Call struct {
+	// number identifies the call in its scheduler.
+	number int
 	server *serverState
 	// target is the server as it was when the call was built.
 	target    Server
