stageplan: send the pieces of a failed overdue call only if no other call may answer

Callers would see: a third copy of a piece beside the second one that runs, where stage servers are full already; and a server that is avoided for one lost answer, 5 s later, when its call ends.

A call whose answer is still accepted after its pieces were sent again was treated as a first failure when it failed in the end.

Evidence and failed before: TestFailureOfOverdueCallChangesNothing (a third call while the second runs).

Change: such a failure does not count against the server, and resends only pieces that no call may answer.

--- a/internal/stageplan/outcome.go
+++ b/internal/stageplan/outcome.go
@@ -140,6 +140,11 @@
 		return
 	}
 	s.end(b)
+	if b.overdue {
+		// Its server was judged when the call became overdue.
+		s.resend(b.unanswered(b.items))
+		return
+	}
 	if full {
 		b.server.unavailableUntil = now.Add(s.fullBackoffTime(b.server) << min(b.server.consecutiveFull, maxFullDoublings))
 		b.server.consecutiveFull++
@@ -163,7 +168,7 @@
 	for _, item := range b.items {
 		item.task.attempts[item.position]--
 	}
-	s.resend(b.items)
+	s.resend(b.unanswered(b.items))
 }
 
 // fullBackoffTime returns how long a full server gets no calls. It is working on calls that
@@ -222,7 +227,7 @@
 			}
 		}
 	}
-	s.resend(again)
+	s.resend(b.unanswered(again))
 	for _, item := range b.items {
 		if t := item.task; t.ended && t.failure != "" {
 			unwanted = append(unwanted, t.TakeResults()...)
--- a/internal/stageplan/scheduler_test.go
+++ b/internal/stageplan/scheduler_test.go
@@ -151,6 +151,30 @@
 	assert.Equal(t, task.Results()[0].Server, calls[0].Server().Address)
 }
 
+// Guards against sending a piece a third time when its overdue call fails while the second one runs, and
+// against blaming the server of the overdue call twice.
+func TestFailureOfOverdueCallChangesNothing(t *testing.T) {
+	s := newScheduler(spec, server(1, "a"), server(2, "a"), server(3, "a"))
+	task := s.Add(start, work("x", 1))
+	first := next(t, s, start)
+	now := start.Add(time.Second)
+	assert.Equal(t, overdue(s, now), 1)
+	second := next(t, s, now)
+	before := s.Servers()
+	s.Refuse(now, first, false)
+	_, again := s.Next(now)
+	assert.Assert(t, !again, "the second call may still answer")
+	after := s.Servers()
+	for i := range after {
+		assert.Equal(t, after[i].Failures, before[i].Failures, "server %d", i)
+	}
+	s.Refuse(now, second, false)
+	third := next(t, s, now)
+	s.Finish(now, third, made(third))
+	failure, done := task.Ended()
+	assert.Assert(t, done && failure == "")
+}
+
 // Two calls were sent to one server at the same time and lost. Guards against memory that stays taken.
 func TestLostResultsOfSimultaneousCallsExpire(t *testing.T) {
 	two := spec
--- a/internal/stageplan/task.go
+++ b/internal/stageplan/task.go
@@ -178,6 +178,21 @@
 	}
 }
 
+// unanswered returns those of a settled call's items that have to be sent again. Those of an overdue
+// call were sent again before, and another call may still answer them.
+func (c *Call) unanswered(items []callItem) []callItem {
+	if !c.overdue {
+		return items
+	}
+	var unanswered []callItem
+	for _, item := range items {
+		if item.task.inFlight[item.position] == 0 {
+			unanswered = append(unanswered, item)
+		}
+	}
+	return unanswered
+}
+
 // TakeResults returns the results of a failed task and clears them, so that each is returned
 // once.
 func (t *Task) TakeResults() []Result {
--- a/internal/stagepool/pool.go
+++ b/internal/stagepool/pool.go
@@ -150,8 +150,8 @@
 	return answer
 }
 
-// dispatch sends the pieces of overdue calls again, cancels unwanted calls, and sends calls while the scheduler has
-// any. It schedules another run while work is left. The mutex must be held.
+// dispatch lets the pieces of overdue calls be sent again, cancels unwanted calls, and sends calls
+// while the scheduler has any. It schedules another run while work is left. The mutex must be held.
 func (p *Pool) dispatch() {
 	now := time.Now()
 	overdue, recheckNeeded := p.scheduler.ResendOverdue(now)
