relay: log and count the sends that a host ends itself

The logs of the streams that ended at silent servers don't say who closed a connection, why, and what was known of the server. Each send that a host ends now has a log line with the reason, the time since the server's last byte on that connection and on any, and how many other servers of the service are sending; sends_ended counts them by reason. No decision changes.

--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -116,7 +116,8 @@
 // sendHedged sends a request to a server, and hedges it with a second server if the first is
 // slow and the request may be repeated. It returns the first good answer, or the last failure.
 func (j *job) sendHedged(ctx context.Context, first Server) (*reply, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	cancel := func() { cancelCause(errSuperseded) }
 	replies := make(chan *reply, 2)
 	started := 0
 	start := func(s Server) {
@@ -195,9 +196,11 @@
 	began := time.Now()
 	f := &flight{digest: j.digest()}
 	defer j.core.crashes.track(s.Instance, f)()
+	activity := j.core.servers.activity(s.Instance)
 	r := &reply{server: s}
 	r.answer, r.head, r.err = j.send(ctx, s, nil, "", netip.AddrPort{})
 	if r.err == nil {
+		activity.received(time.Now())
 		r.body, r.err = io.ReadAll(io.LimitReader(r.answer.Body, maxBufferedBody))
 		r.hasMore = r.err == nil && len(r.body) == maxBufferedBody
 		if r.end = endOf(r.answer, r.body, r.hasMore); r.err == nil && r.end == endBroken {
@@ -216,6 +219,7 @@
 		j.recordConnectionLoss(s, false)
 	default:
 		j.recordCancellation(s)
+		j.logEndedSend(ctx, s, activity, time.Time{})
 	}
 	abandoned := ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded)
 	failed := r.err != nil && !abandoned || r.err == nil && r.answer.Status >= http.StatusInternalServerError
--- a/internal/relay/servers.go
+++ b/internal/relay/servers.go
@@ -29,6 +29,8 @@
 	*Server
 	running int
 	health  health.Record
+	// activity is kept while the server is known.
+	activity *serverActivity
 }
 
 // serviceServers holds the servers of one service.
@@ -151,7 +153,7 @@
 	group := s.ensureService(published.Service)
 	known := s.byID[published.Instance]
 	if known == nil {
-		known = &server{}
+		known = &server{activity: &serverActivity{}}
 		s.byID[published.Instance] = known
 	}
 	known.Server = published
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -292,6 +292,7 @@
 	began := time.Now()
 	w := s.newWatchdog(cancel)
 	defer w.stop()
+	defer w.activity.begin(began)()
 	w.overdueTimer = s.reportOverdue(engine)
 	answer, head, err := j.send(ctx, engine, g.inputHandles(), s.splitter.lastID, s.copyFrom)
 	if err != nil {
@@ -305,6 +306,7 @@
 			j.recordConnectionLoss(engine, false)
 		default:
 			j.recordCancellation(engine)
+			j.logEndedSend(ctx, engine, w.activity, time.Time{})
 		}
 		return err
 	}
@@ -327,8 +329,12 @@
 	if errors.Is(context.Cause(ctx), errStreamSilent) {
 		j.recordSilence()
 	}
-	if errors.Is(err, errStreamBroken) && ctx.Err() == nil {
+	switch {
+	case !errors.Is(err, errStreamBroken):
+	case ctx.Err() == nil:
 		j.recordConnectionLoss(engine, !first.IsZero())
+	default:
+		j.logEndedSend(ctx, engine, w.activity, w.receivedAt)
 	}
 	callerLeft := errors.Is(err, ErrCut) && !errors.Is(err, errStreamBroken)
 	s.recordEngineOutcome(engine, took, err != nil && !callerLeft && !endedExternally(ctx))
--- a/internal/relay/watchdog.go
+++ b/internal/relay/watchdog.go
@@ -50,6 +50,9 @@
 
 // watchdog cancels a send whose server has fallen silent.
 type watchdog struct {
+	activity *serverActivity
+	// receivedAt is when the server last sent something for this send; zero if it never has.
+	receivedAt  time.Time
 	timer       *time.Timer
 	idleTimeout time.Duration
 	// overdueTimer reports a server that has sent nothing yet.
@@ -60,17 +63,21 @@
 // streams it never fires.
 func (s *stream) newWatchdog(cancel context.CancelCauseFunc) *watchdog {
 	j := s.job
+	activity := j.core.servers.activity(s.engine.Instance)
 	if !j.route.Resumable || j.possibleRuns()+1 >= j.route.MaxAttempts {
-		return &watchdog{}
+		return &watchdog{activity: activity}
 	}
 	first := max(minFirstEventTimeout, firstEventFactor*s.expectedFirstEvent)
 	return &watchdog{
+		activity:    activity,
 		timer:       time.AfterFunc(first, func() { cancel(errStreamSilent) }),
 		idleTimeout: max(silenceGapFactor*j.route.MaxGap, minSilence),
 	}
 }
 
 func (w *watchdog) extend() {
+	w.receivedAt = time.Now()
+	w.activity.received(w.receivedAt)
 	w.stopOverdue()
 	if w.timer != nil {
 		w.timer.Reset(w.idleTimeout)
