relay, exchange: keep a silent send open until a second one has sent the next event

Callers of resumable streams got 502 ("no retry left") or streams that were cut off while sound engines were silent for about a second, and under load alone. The watchdog ended a send on a suspicion and only then asked whether an attempt, a retry and a server were left; where they weren't, nothing took its place.

The watchdog ends nothing now. It looks at a silent engine (does it send on other connections, does it accept a connection, does it answer a status request), and where another is likely to do better, or after twice the time in any case, the stream is sent to a second engine beside the first. Who sends the next event goes on, the other is cancelled. Without an attempt, a retry or a server the first send goes on to its deadline; a retry that wasn't used is given back. An engine that accepts no connection and isn't listed any more is left.

A second send may cross the answer of a server that was paused: a trace shows it reach its engine as the first one ends its answer.

Unchanged tests of silent connections pass.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -51,6 +51,8 @@
 	// SilentAfter is how long the call may wait on a reused connection without receiving a
 	// byte before that connection is considered silent, at least 200 ms. 0 means until ctx ends.
 	SilentAfter time.Duration
+	// OnReuse, if set, is called before the call is sent if its connection is a reused one.
+	OnReuse func()
 	// Matches reports whether an answer belongs to the request. Other answers are skipped:
 	// they are late answers to earlier requests. If Matches is nil, any answer is accepted.
 	Matches func(status int, header http.Header) bool
@@ -87,6 +89,9 @@
 			return nil, verdict.New(verdict.NotRun, verdict.ReasonConnection, "exchange: connect to %s: %w", call.Address, err)
 		}
 	}
+	if reused && call.OnReuse != nil {
+		call.OnReuse()
+	}
 	began := time.Now()
 	c.received.Store(false)
 	e := &exchange{pool: p, call: call, conn: c}
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -51,7 +51,9 @@
 func (signedDialect) Header(r *relay.Request, _ relay.ForwardInfo) http.Header {
 	return r.Header.Clone()
 }
-func (signedDialect) Matches(string, int, http.Header) bool    { return true }
+func (signedDialect) Matches(string, int, http.Header) bool { return true }
+func (signedDialect) StatusTarget() string                  { return "" }
+
 func (signedDialect) Head(string, int, http.Header) relay.Head { return relay.Head{Signed: true} }
 
 // textSink records the body of an answer.
--- a/internal/handover/site_test.go
+++ b/internal/handover/site_test.go
@@ -51,6 +51,8 @@
 
 func (plainDialect) Matches(string, int, http.Header) bool { return true }
 
+func (plainDialect) StatusTarget() string { return "" }
+
 func (plainDialect) Head(string, int, http.Header) relay.Head { return relay.Head{Signed: true} }
 
 // host is a host with a core that hands requests over to the other hosts.
--- a/internal/relay/ended.go
+++ b/internal/relay/ended.go
@@ -25,6 +25,9 @@
 	endDrained    endReason = "drained"
 )
 
+// endedSendMessage is the message of the log line of a send that this host ended.
+const endedSendMessage = "the host ended a send"
+
 // errSuperseded is the cancellation cause of a send in whose place another one has answered.
 var errSuperseded = errors.New("relay: another backend server has answered")
 
@@ -44,19 +47,40 @@
 	}
 }
 
-// logEndedSend logs and counts that this host ended a send whose server last sent something at a given
-// time, zero if it never has.
-func (j *job) logEndedSend(ctx context.Context, s Server, activity *serverActivity, receivedAt time.Time) {
+// endedSend is a send that this host ended.
+type endedSend struct {
+	server   Server
+	activity *serverActivity
+	// receivedAt is when the server last sent something for the send; zero if it never has.
+	receivedAt time.Time
+	// finding is what was found out about a silent server, empty if nothing was. replacedBy is the
+	// server that has answered in its place, empty if none has.
+	finding    finding
+	replacedBy string
+	// events is the number of events that the caller has received.
+	events int
+}
+
+// logEndedSend logs and counts that this host ended a send.
+func (j *job) logEndedSend(ctx context.Context, e endedSend) {
 	now := time.Now()
 	reason := endReasonOf(ctx)
 	j.core.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("sends_ended").Inc(1)
-	fields := logrus.Fields{"server": s.Instance, "reason": string(reason), "sends": j.sendCount(), "attempts": j.possibleRuns()}
-	if !receivedAt.IsZero() {
-		fields["silent_ms"] = now.Sub(receivedAt).Milliseconds()
+	fields := logrus.Fields{
+		"server": e.server.Instance, "reason": string(reason), "sends": j.sendCount(), "attempts": j.possibleRuns(), "events": e.events,
+		"others_sending": j.core.servers.sendingServers(j.service.Name, e.server.Instance, minSilence),
 	}
-	if since, ok := activity.sinceReceived(now); ok {
+	if !e.receivedAt.IsZero() {
+		fields["silent_ms"] = now.Sub(e.receivedAt).Milliseconds()
+	}
+	if since, ok := e.activity.sinceReceived(now); ok {
 		fields["server_silent_ms"] = since.Milliseconds()
 	}
-	fields["others_sending"] = j.core.servers.sendingServers(j.service.Name, s.Instance, minSilence)
-	j.log.WithFields(fields).Info("the host ended a send")
+	if e.finding != "" {
+		fields["finding"] = string(e.finding)
+	}
+	if e.replacedBy != "" {
+		fields["replaced_by"] = e.replacedBy
+	}
+	j.log.WithFields(fields).Info(endedSendMessage)
 }
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -43,6 +43,9 @@
 // TryTake takes a retry if one is available.
 func (r RetryBudget) TryTake() bool { return r.r.tryTake("s") }
 
+// GiveBack returns a retry.
+func (r RetryBudget) GiveBack() { r.r.giveBack("s") }
+
 // PickTarget picks a route's service.
 func PickTarget(r Route, point float64) string { return r.pickTarget(point) }
 
--- a/internal/relay/gaps.go
+++ b/internal/relay/gaps.go
@@ -22,9 +22,9 @@
 	longest time.Duration
 }
 
-// restart begins with the events of another engine.
-func (g *eventGaps) restart() {
-	g.gaps, g.isFirst = g.gaps[:0], true
+// following returns the gaps of an engine that goes on after the events so far.
+func (g *eventGaps) following() eventGaps {
+	return eventGaps{lastAt: g.lastAt, longest: g.longest, isFirst: true}
 }
 
 // add records that events arrived together.
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -144,7 +144,7 @@
 	for {
 		request := *j.Request
 		request.Runs, request.Counted, request.LastEvent = j.possibleRuns(), j.counted, j.lastEvent
-		request.Version = j.version
+		request.Version = j.boundVersion()
 		result := j.core.options.Handover.HandOver(ctx, Handoff{Request: &request, Repeatable: j.mayRepeat(), Except: tried}, sink)
 		j.setPossibleRuns(result.Runs)
 		if result.Err == nil && sink.refused {
--- a/internal/relay/loopback_test.go
+++ b/internal/relay/loopback_test.go
@@ -58,6 +58,8 @@
 
 func (loopbackDialect) Matches(id string, _ int, h http.Header) bool { return h.Get(headerID) == id }
 
+func (loopbackDialect) StatusTarget() string { return "/status" }
+
 func (loopbackDialect) Head(_ string, _ int, h http.Header) relay.Head {
 	return relay.Head{NotRun: h.Get(headerNotRun) != "", Signed: h.Get(headerSigned) != ""}
 }
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -18,15 +18,15 @@
 
 // chooseEngine asks the pool's owner for an engine for the prompt. It skips engines that
 // this host knows to be leaving or gone, because the owner may not know yet.
-func (s *stream) chooseEngine(ctx context.Context, g *stageGraph) (Server, bool) {
+func (s *stream) chooseEngine(ctx context.Context, inputsZone string, inputBytes int64) (Server, bool) {
 	j := s.job
-	s.prompt.Zone, s.prompt.InputBytes = g.largeInputsZone()
+	s.prompt.Zone, s.prompt.InputBytes = inputsZone, inputBytes
 	s.prompt.TimeLeft = time.Until(j.objective)
 	s.prompt.AllowedRegions = j.regions
 	if j.catalog.LoadAware {
 		s.describeStream()
 	}
-	if s.avoided = nil; !j.version.IsPresent() {
+	if s.avoided = nil; !j.boundVersion().IsPresent() {
 		s.avoided = j.avoidedServers()
 	}
 	for unavailable := 0; unavailable < maxPlacements; {
@@ -106,10 +106,10 @@
 
 // excludedEngines returns the engines that the prompt must not be placed on: those that it
 // was sent to, those that were chosen but accepted no work, those of versions of which servers crashed
-// under it, those of versions that it can't go on at, and those that this host must send
+// under it, those of versions that it can't go on at, silent ones, and those that this host must send
 // nothing to for a while. The owner does not know the last kind.
 func (s *stream) excludedEngines() []string {
-	return slices.Concat(s.job.triedInstances, s.unavailable, s.avoided, s.job.otherVersions(), s.job.core.servers.paused(s.job.service.Name))
+	return slices.Concat(s.job.triedInstances, s.unavailable, s.avoided, s.silent, s.job.otherVersions(), s.job.core.servers.paused(s.job.service.Name))
 }
 
 // maxPlacementDelay is the longest delay before an engine is asked for again.
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/wingvale/wingvale/internal/exchange"
@@ -198,7 +197,7 @@
 	defer j.core.crashes.track(s.Instance, f)()
 	activity := j.core.servers.activity(s.Instance)
 	r := &reply{server: s}
-	r.answer, r.head, r.err = j.send(ctx, s, nil, "", netip.AddrPort{})
+	r.answer, r.head, r.err = j.send(ctx, s, sendOptions{})
 	if r.err == nil {
 		activity.received(time.Now())
 		r.body, r.err = io.ReadAll(io.LimitReader(r.answer.Body, maxBufferedBody))
@@ -219,7 +218,7 @@
 		j.recordConnectionLoss(s, false)
 	default:
 		j.recordCancellation(s)
-		j.logEndedSend(ctx, s, activity, time.Time{})
+		j.logEndedSend(ctx, endedSend{server: s, activity: activity})
 	}
 	abandoned := ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded)
 	failed := r.err != nil && !abandoned || r.err == nil && r.answer.Status >= http.StatusInternalServerError
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -94,6 +94,18 @@
 
 // Two goroutines of a node may each set a configuration; the later call may have the older
 // one.
+// Retries that were taken and not used were lost.
+func TestUnusedRetriesAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := relay.NewRetryBudget(0, 1, time.Hour, 1)
+		assert.Check(t, b.TryTake())
+		assert.Check(t, !b.TryTake())
+		b.GiveBack()
+		assert.Check(t, b.TryTake())
+		assert.Check(t, !b.TryTake())
+	})
+}
+
 func TestSetCatalogIgnoresOlderVersions(t *testing.T) {
 	c := relay.New(relay.Options{Hosts: func() int { return 1 }, SinceBoot: steady, Random: rand.New(rand.NewPCG(1, 1))})
 	c.SetCatalog(relay.NewCatalog(6, nil, nil, nil, relay.Limits{}))
--- a/internal/relay/retries.go
+++ b/internal/relay/retries.go
@@ -47,12 +47,20 @@
 	r.share, r.reserve, r.window = share, reserve, window
 }
 
+// hostReserve returns this host's part of the reserve.
+func (r *retryBudget) hostReserve() float64 {
+	return r.reserve * hostShare / float64(max(r.hosts(), 1))
+}
+
+// burst returns how much may be spent at once of a host's part of the reserve.
+func burst(hostReserve float64) float64 { return max(hostReserve*burstShare, 1) }
+
 // refilledBucket returns a service's bucket, refilled up to now. In a window, at most the
 // tokens at its start and those added during it can be spent: both halves of the reserve.
 func (r *retryBudget) refilledBucket(service string) *bucket {
 	now := time.Now()
-	hostReserve := r.reserve * hostShare / float64(max(r.hosts(), 1))
-	capacity := max(hostReserve*burstShare, 1)
+	hostReserve := r.hostReserve()
+	capacity := burst(hostReserve)
 	b := r.buckets[service]
 	if b == nil {
 		b = &bucket{tokens: capacity, refilledAt: now}
@@ -83,3 +91,10 @@
 	b.tokens--
 	return true
 }
+
+// giveBack returns a retry that was taken and not used.
+func (r *retryBudget) giveBack(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refilledBucket(service).tokens++
+}
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -20,11 +20,24 @@
 // few answers.
 const fullRetryAfter = 250 * time.Millisecond
 
+// sendOptions is what is added to a request that is sent to a server. The zero value adds nothing.
+type sendOptions struct {
+	// inputs are the handles of stage results, lastEvent is the event after which a stream goes on,
+	// and copyFrom the address from which an engine copies shared parts of the prompt.
+	inputs    []string
+	lastEvent string
+	copyFrom  netip.AddrPort
+	// expected is the expected time to the first byte, 0 if unknown.
+	expected time.Duration
+	// onReuse, if set, is called if the connection has carried another request.
+	onReuse func()
+}
+
 // send sends the request to a server once. It returns the answer's head with its body
 // unread. The error carries a verdict, which is also NotRun if the server reported that it
 // did not run the request. The request counts as running on the server until
 // core.servers.finishRequest is called.
-func (j *job) send(ctx context.Context, s Server, inputs []string, lastEvent string, copyFrom netip.AddrPort) (*exchange.Answer, Head, error) {
+func (j *job) send(ctx context.Context, s Server, options sendOptions) (*exchange.Answer, Head, error) {
 	left := j.remaining()
 	if left <= 0 {
 		return nil, Head{}, verdict.New(verdict.NotRun, ReasonTimeout, "relay: no time left")
@@ -36,17 +49,19 @@
 		Target:  j.Target,
 		Host:    j.Host,
 		Header: o.Dialect.Header(j.Request, ForwardInfo{
-			Instance: s.Instance, Remaining: left, Workspace: j.workspace.Name, Inputs: inputs, LastEvent: lastEvent, CopyFrom: copyFrom,
+			Instance: s.Instance, Remaining: left, Workspace: j.workspace.Name, Inputs: options.inputs, LastEvent: options.lastEvent, CopyFrom: options.copyFrom,
 			Urgency: j.urgency(time.Now()),
 		}),
 		Body:          j.Body,
 		NewConnection: j.needsNewConnection(),
-		SilentAfter:   overdueFactor * j.placement.Expected,
+		SilentAfter:   overdueFactor * options.expected,
+		OnReuse:       options.onReuse,
 		Matches:       func(status int, h http.Header) bool { return o.Dialect.Matches(j.ID, status, h) },
 	}
 	j.recordSend(s)
 	sentAt := time.Now()
 	answer, err := o.Servers.Do(ctx, call)
+	defer j.endSend()
 	if err == nil {
 		j.recordAnswer(answer.Framing)
 		j.core.crashes.recordAnswer(s.Instance, sentAt)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -92,9 +92,6 @@
 	longestGap time.Duration
 	// placement is where the prompt was placed last.
 	placement placing.Placement
-	// version is the software version that began the stream, which it may only go on at; absent
-	// before its first event.
-	version option.Value[string]
 	// placeDeniedAt is when the request was first denied a place at a brittle server; zero if it
 	// has got one since.
 	placeDeniedAt time.Time
@@ -111,9 +108,14 @@
 	releaseTrial func()
 
 	mu sync.Mutex
+	// version is the software version that began the stream, which it may only go on at; absent
+	// before its first event.
+	version option.Value[string]
 	// possibleRunCount counts the sends that may have run, sends all of them.
 	possibleRunCount int
 	sends            int
+	// openSends counts the sends of which it is not known yet whether they may have run.
+	openSends int
 	// answers counts the sends that yielded an answer of any kind.
 	answers int
 	// server is where the request was sent last, and sentAt when. framing is that of the last
@@ -129,6 +131,7 @@
 	j.server = s
 	j.sentAt = time.Now()
 	j.sends++
+	j.openSends++
 	runs := j.Runs + j.sends
 	j.mu.Unlock()
 	if j.OnSend != nil {
@@ -136,6 +139,47 @@
 	}
 }
 
+// endSend records that it is known whether a send may have run.
+func (j *job) endSend() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.openSends--
+}
+
+// mayRunOnceMore reports whether the request may be sent once more while its other sends go on.
+func (j *job) mayRunOnceMore() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.possibleRunCount+j.openSends < j.route.MaxAttempts
+}
+
+// setServer records that the answer comes from a server.
+func (j *job) setServer(s Server) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.server = s
+}
+
+// boundVersion returns the software version that the stream may only go on at; absent before its first
+// event.
+func (j *job) boundVersion() option.Value[string] {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.version
+}
+
+// bindVersion makes the stream go on at a software version only, unless one is bound already. It returns
+// the bound version.
+func (j *job) bindVersion(version string) string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.version.IsPresent() {
+		j.version = option.Some(version)
+	}
+	bound, _ := j.version.Get()
+	return bound
+}
+
 // recordAnswer records that a send yielded an answer.
 func (j *job) recordAnswer(framing exchange.Framing) {
 	j.mu.Lock()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -6,9 +6,8 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"net/netip"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -50,7 +49,7 @@
 	if err := j.checkServers(); err != nil {
 		return err
 	}
-	s := &stream{job: j, sink: sink, prompt: j.placingPrompt()}
+	s := newStream(j, sink)
 	if err := s.bindVersion(ctx); err != nil {
 		return err
 	}
@@ -80,7 +79,8 @@
 		if err := j.awaitRest(ctx, idleFirstEventTime(j.Request)); err != nil {
 			return s.callerError(err)
 		}
-		engine, ok := s.chooseEngine(ctx, g)
+		zone, bytes := s.inputsZone(g)
+		engine, ok := s.chooseEngine(ctx, zone, bytes)
 		if !ok && ctx.Err() == nil && j.core.servers.shortestPause(j.service.Name, j.regions, j.triedInstances) > 0 {
 			j.endTrial()
 			continue
@@ -88,6 +88,7 @@
 		if !ok {
 			return s.callerError(j.refuse(verdict.ReasonNoServer, fullRetryAfter, "no server of %s", j.service.Name))
 		}
+		j.triedInstances = append(j.triedInstances, engine.Instance)
 		err := s.streamFrom(ctx, engine, g)
 		j.endTrial()
 		if err == nil {
@@ -102,12 +103,11 @@
 			g = nil
 			continue
 		}
-		j.triedInstances = append(j.triedInstances, engine.Instance)
 		if err := s.checkResume(err); err != nil {
 			return s.callerError(err)
 		}
 		if s.started {
-			if err := s.goOnAfter(engine); err != nil {
+			if err := s.goOnAfter(s.failedEngine); err != nil {
 				return s.callerError(err)
 			}
 			g.release()
@@ -116,6 +116,19 @@
 	}
 }
 
+func newStream(j *job, sink Sink) *stream {
+	s := &stream{job: j, sink: sink, prompt: j.placingPrompt()}
+	s.ended = sync.NewCond(&s.mu)
+	return s
+}
+
+// inputsZone returns the zone with most of the large results that an engine would read, and their size.
+func (s *stream) inputsZone(g *stageGraph) (zone string, bytes int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return g.largeInputsZone()
+}
+
 // recordEvents records which events were forwarded.
 func (s *stream) recordEvents() {
 	j := s.job
@@ -199,14 +212,12 @@
 	return err
 }
 
-// stream is the answer to one request, produced by one or more engines in succession.
+// stream is the answer to one request, produced by one or more engines. While a silent engine is relieved,
+// only the goroutine of the second attempt chooses engines.
 type stream struct {
-	job  *job
-	sink Sink
-	// started reports whether the caller has received the head.
-	started  bool
-	splitter eventSplitter
-	prompt   placing.Prompt
+	job    *job
+	sink   Sink
+	prompt placing.Prompt
 	// expectedFirstEvent is the expected time to the first event at the engine chosen
 	// last.
 	expectedFirstEvent time.Duration
@@ -216,34 +227,33 @@
 	unavailable []string
 	// avoided holds the engines that the prompt is sent to only if no other takes it.
 	avoided []string
-	// reportedOverdue reports whether the engine was reported as silent for this prompt.
-	reportedOverdue atomic.Bool
-	// engine is the engine chosen last, and flight the request there.
-	engine Server
-	flight *flight
-	// gaps has the gaps between the events of the stream.
-	gaps eventGaps
-}
+	// silent holds the engines that are no better than the silent one which is to be relieved.
+	silent []string
 
-// recordEngineOutcome records how an engine performed: how long its first event took, 0 if
-// there was none, and whether it failed.
-func (s *stream) recordEngineOutcome(engine Server, first time.Duration, failed bool) {
-	c := s.job.core
-	ratio := 0.0
-	if first > 0 && s.expectedFirstEvent > 0 {
-		ratio = first.Seconds() / s.expectedFirstEvent.Seconds()
-	}
-	c.servers.finishRequest(engine.Instance, ratio, failed)
-	if first == 0 && s.reportedOverdue.Load() {
-		// Its owner has been notified, and may have received a more favorable report
-		// since.
-		return
-	}
-	report := placing.Report{Instance: engine.Instance, FirstEventTime: first, Expected: s.expectedFirstEvent, Failed: failed}
-	if s.job.catalog.LoadAware {
-		report.ID, report.EventGap = s.prompt.ID, s.gaps.pace()
-	}
-	c.options.Engines.QueueReport(s.job.service.Name, report)
+	mu sync.Mutex
+	// attempts holds the sends in progress, of which at most two are not superseded. ended is
+	// signaled when one ends.
+	attempts []*attempt
+	ended    *sync.Cond
+	// owner is the attempt that forwarded the last events; nil if none has.
+	owner *attempt
+	// started reports whether the caller has received the head, and fixed whether it has received that
+	// of an answer that no other engine can go on with.
+	started bool
+	fixed   bool
+	// splitter has the state of the stream after the last events that were forwarded, and gaps the
+	// gaps between them.
+	splitter eventSplitter
+	gaps     eventGaps
+	// complete reports whether the stream was forwarded whole. err is how the last attempt failed, and
+	// failedEngine its engine.
+	complete     bool
+	err          error
+	failedEngine Server
+	// reliefs counts the attempts that were added because an engine was silent.
+	reliefs int
+	// retryTaken reports whether the retry for the next engine was taken from the budget.
+	retryTaken bool
 }
 
 // callerError returns err in the form that the caller receives.
@@ -268,6 +278,10 @@
 	if !j.route.Resumable || !s.splitter.canResume() || j.possibleRuns() >= j.route.MaxAttempts {
 		return verdict.New(verdict.Unknown, verdict.ReasonServerFailed, "relay: %w", err)
 	}
+	if s.retryTaken {
+		s.retryTaken = false
+		return nil
+	}
 	if !j.core.retries.tryTake(j.service.Name) {
 		return verdict.New(verdict.Unknown, verdict.ReasonServerFailed, "relay: no retry left: %w", err)
 	}
@@ -280,68 +294,3 @@
 		Info("stream broke off, and goes on at another backend server")
 	return s.checkVersion()
 }
-
-// streamFrom forwards the events of one engine.
-func (s *stream) streamFrom(ctx context.Context, engine Server, g *stageGraph) error {
-	j := s.job
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	s.engine = engine
-	s.flight = &flight{digest: j.digest()}
-	defer j.core.crashes.track(engine.Instance, s.flight)()
-	began := time.Now()
-	w := s.newWatchdog(cancel)
-	defer w.stop()
-	defer w.activity.begin(began)()
-	w.overdueTimer = s.reportOverdue(engine)
-	answer, head, err := j.send(ctx, engine, g.inputHandles(), s.splitter.lastID, s.copyFrom)
-	if err != nil {
-		s.recordEngineOutcome(engine, 0, !head.NotRun && !endedExternally(ctx))
-		if head.InputMissing {
-			return errInputGone
-		}
-		switch {
-		case verdict.Of(err) != verdict.Unknown:
-		case ctx.Err() == nil:
-			j.recordConnectionLoss(engine, false)
-		default:
-			j.recordCancellation(engine)
-			j.logEndedSend(ctx, engine, w.activity, time.Time{})
-		}
-		return err
-	}
-	defer func() { _ = answer.Body.Close() }()
-	defer func() {
-		if j.unverifiedEnd {
-			j.recordUnverifiedEnd(engine)
-		}
-	}()
-	if answer.Status != http.StatusOK {
-		s.recordEngineOutcome(engine, 0, answer.Status >= http.StatusInternalServerError)
-		return s.passErrorAnswer(answer)
-	}
-	first, err := s.passAnswer(answer, g, w)
-	took := time.Duration(0)
-	if !first.IsZero() {
-		took = first.Sub(began)
-		j.recordFirstEvent(took)
-	}
-	if errors.Is(context.Cause(ctx), errStreamSilent) {
-		j.recordSilence()
-	}
-	switch {
-	case !errors.Is(err, errStreamBroken):
-	case ctx.Err() == nil:
-		j.recordConnectionLoss(engine, !first.IsZero())
-	default:
-		j.logEndedSend(ctx, engine, w.activity, w.receivedAt)
-	}
-	callerLeft := errors.Is(err, ErrCut) && !errors.Is(err, errStreamBroken)
-	s.recordEngineOutcome(engine, took, err != nil && !callerLeft && !endedExternally(ctx))
-	return err
-}
-
-// endedExternally reports whether ctx has ended for a reason other than a silent server.
-func endedExternally(ctx context.Context) bool {
-	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStreamSilent)
-}
--- a/internal/relay/stream_answer.go
+++ b/internal/relay/stream_answer.go
@@ -4,7 +4,6 @@
 package relay
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -17,11 +16,11 @@
 
 // passErrorAnswer forwards an engine's error answer, or returns an error that lets another
 // engine try.
-func (s *stream) passErrorAnswer(answer *exchange.Answer) error {
+func (s *stream) passErrorAnswer(a *attempt, answer *exchange.Answer) error {
 	j := s.job
-	failed := verdict.New(verdict.Ran, verdict.ReasonServerFailed, "relay: %s failed with status %d", s.job.server.Instance, answer.Status)
+	failed := verdict.New(verdict.Ran, verdict.ReasonServerFailed, "relay: %s failed with status %d", a.engine.Instance, answer.Status)
 	retryable := answer.Status >= http.StatusInternalServerError && j.route.Resumable && j.possibleRuns() < j.route.MaxAttempts
-	if s.started || claimsNotRun(answer.Status) || retryable {
+	if s.isStarted() || claimsNotRun(answer.Status) || retryable || s.isContested(a) {
 		return failed
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedBody))
@@ -29,7 +28,9 @@
 	if err != nil || len(body) == maxBufferedBody || end == endBroken {
 		return failed
 	}
-	s.startOther(answer, end)
+	if !s.startOther(a, answer, end) {
+		return failed
+	}
 	if s.sink.Write(body) != nil {
 		return ErrCut
 	}
@@ -38,28 +39,28 @@
 
 // passAnswer forwards a successful answer and returns the time of its first event, or of its first byte
 // if it is not a series of events.
-func (s *stream) passAnswer(answer *exchange.Answer, g *stageGraph, w *watchdog) (time.Time, error) {
+func (s *stream) passAnswer(a *attempt, answer *exchange.Answer) (time.Time, error) {
 	if isEventStream(answer.Header) {
-		return s.copyEvents(answer, g, w)
+		return s.copyEvents(a, answer)
 	}
-	return s.passOtherAnswer(answer, g, w)
+	return s.passOtherAnswer(a, answer)
 }
 
 // passOtherAnswer forwards an answer that is not a series of events. No other engine can go on with it.
-func (s *stream) passOtherAnswer(answer *exchange.Answer, g *stageGraph, w *watchdog) (time.Time, error) {
-	reader := &watchedReader{reader: answer.Body, watchdog: w}
+func (s *stream) passOtherAnswer(a *attempt, answer *exchange.Answer) (time.Time, error) {
+	reader := &watchedReader{reader: answer.Body, watchdog: a.watch}
 	body, err := io.ReadAll(io.LimitReader(reader, maxBufferedBody))
 	truncated := err == nil && len(body) == maxBufferedBody
 	end := endOf(answer, body, truncated)
 	if err == nil && end == endBroken {
 		err = errBodyBroken
 	}
-	if err != nil || s.started {
-		return reader.firstAt, verdict.New(verdict.Unknown, verdict.ReasonConnection, "%w: %w", errStreamBroken, cmp.Or(err, errNotEvents))
+	if err == nil && !s.startOther(a, answer, end) {
+		err = errNotEvents
+	}
+	if err != nil {
+		return reader.firstAt, verdict.New(verdict.Unknown, verdict.ReasonConnection, "%w: %w", errStreamBroken, err)
 	}
-	g.release()
-	s.job.firstByteDuration = time.Since(s.job.Arrived)
-	s.startOther(answer, end)
 	if s.sink.Write(body) != nil {
 		return reader.firstAt, ErrCut
 	}
@@ -73,7 +74,7 @@
 	return reader.firstAt, err
 }
 
-// watchedReader extends a watchdog with each read that returns data.
+// watchedReader records for a watchdog what arrives.
 type watchedReader struct {
 	reader   io.Reader
 	watchdog *watchdog
@@ -83,9 +84,10 @@
 
 // Read reads from the answer.
 func (r *watchedReader) Read(buffer []byte) (int, error) {
+	r.watchdog.wait()
 	n, err := r.reader.Read(buffer)
 	if n > 0 {
-		r.watchdog.extend()
+		r.watchdog.received()
 		if r.firstAt.IsZero() {
 			r.firstAt = time.Now()
 		}
@@ -93,79 +95,107 @@
 	return n, err
 }
 
-// startOther forwards the head of an answer that is not a series of events.
-func (s *stream) startOther(answer *exchange.Answer, end bodyEnd) {
-	s.started = true
+// startOther forwards the head of an answer that is not a series of events. It reports false if another
+// attempt has started the answer.
+func (s *stream) startOther(a *attempt, answer *exchange.Answer, end bodyEnd) bool {
+	s.mu.Lock()
+	claimed := !s.started && s.claim(a)
+	if claimed {
+		s.fixed = true
+		s.start(a)
+	}
+	s.mu.Unlock()
+	if !claimed {
+		return false
+	}
 	if end == endUnverified {
+		a.unverifiedEnd = true
 		s.job.unverifiedEnd = true
 		s.sink.OmitEnd()
 	}
 	s.sink.Start(answer.Status, answer.Header)
+	return true
 }
 
 // copyEvents forwards complete events as they arrive and returns the time of the first. By
 // the first event, the engine has read its inputs.
-func (s *stream) copyEvents(answer *exchange.Answer, g *stageGraph, w *watchdog) (time.Time, error) {
+func (s *stream) copyEvents(a *attempt, answer *exchange.Answer) (time.Time, error) {
 	var first time.Time
 	buffer := make([]byte, copyBuffer)
-	s.splitter.restart()
-	s.gaps.restart()
+	reader := &watchedReader{reader: answer.Body, watchdog: a.watch}
 	for {
-		n, err := answer.Body.Read(buffer)
+		n, err := reader.Read(buffer)
 		if n > 0 {
-			w.extend()
-			before := s.splitter.events
-			if whole := s.splitter.split(buffer[:n]); len(whole) > 0 {
-				s.gaps.add(time.Now(), s.splitter.events-before)
+			before := a.splitter.events
+			if whole := a.splitter.split(buffer[:n]); len(whole) > 0 {
+				now := time.Now()
 				if first.IsZero() {
-					first = time.Now()
-					s.flight.answered.Store(true)
-					s.recordVersion()
-					s.startAnswer(answer, g)
+					first = now
+					a.flight.answered.Store(true)
 				}
-				if s.sink.Write(whole) != nil {
-					return first, ErrCut
+				a.gaps.add(now, a.splitter.events-before)
+				if err := s.forward(a, answer, whole); err != nil {
+					return first, err
 				}
 			}
 		}
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
-			return first, s.finishAnswer(answer, g)
+			return first, s.finishAnswer(a, answer)
 		default:
 			return first, verdict.New(verdict.Unknown, verdict.ReasonConnection, "%w: %w", errStreamBroken, err)
 		}
 	}
 }
 
-// startAnswer forwards the head together with the first event and releases the inputs.
-// Memory for inputs is scarce, and the few streams that break have them produced again.
-func (s *stream) startAnswer(answer *exchange.Answer, g *stageGraph) {
-	g.release()
-	if s.started {
-		return
-	}
-	s.started = true
-	s.job.endTrial()
-	s.job.firstByteDuration = time.Since(s.job.Arrived)
-	s.sink.Start(answer.Status, answer.Header)
+// forward forwards complete events, and the head before the first ones. The error wraps errSuperseded if
+// another attempt has sent them before.
+func (s *stream) forward(a *attempt, answer *exchange.Answer, whole []byte) error {
+	s.mu.Lock()
+	if !s.claim(a) {
+		s.mu.Unlock()
+		return verdict.New(verdict.Unknown, verdict.ReasonConnection, "%w: %w", errStreamBroken, errSuperseded)
+	}
+	s.splitter, s.gaps.lastAt, s.gaps.longest = a.splitter, a.gaps.lastAt, a.gaps.longest
+	isFirst, isHead := !a.forwarded, !s.started
+	s.start(a)
+	s.mu.Unlock()
+	if isFirst {
+		s.recordVersion(a)
+	}
+	if isHead {
+		s.job.endTrial()
+		s.sink.Start(answer.Status, answer.Header)
+	}
+	if len(whole) > 0 && s.sink.Write(whole) != nil {
+		return ErrCut
+	}
+	return nil
+}
+
+// start records that the caller receives a part of an attempt's answer, and releases its inputs. Memory for
+// inputs is scarce, and the few streams that break have them produced again. The mutex must be held.
+func (s *stream) start(a *attempt) {
+	if !s.started {
+		s.started = true
+		s.job.firstByteDuration = time.Since(s.job.Arrived)
+	}
+	if !a.forwarded {
+		a.forwarded = true
+		a.inputs.release()
+		s.job.setServer(a.engine)
+	}
 }
 
 // finishAnswer ends the answer of an engine whose connection reported no error. Without a length or
 // chunks, that is no proof that the engine had sent all of it.
-func (s *stream) finishAnswer(answer *exchange.Answer, g *stageGraph) error {
+func (s *stream) finishAnswer(a *attempt, answer *exchange.Answer) error {
 	switch {
-	case s.splitter.brokenOff():
+	case a.splitter.brokenOff():
 		return verdict.New(verdict.Unknown, verdict.ReasonConnection, "%w: %w", errStreamBroken, errInsideEvent)
-	case answer.Framing == exchange.FramingConnection && !s.splitter.hasEvent():
+	case answer.Framing == exchange.FramingConnection && !a.splitter.hasEvent():
 		return verdict.New(verdict.Unknown, verdict.ReasonConnection, "%w: %w", errStreamBroken, errNoEvent)
 	}
-	s.startAnswer(answer, g)
-	if len(s.splitter.partial) == 0 {
-		return nil
-	}
-	if s.sink.Write(s.splitter.partial) != nil {
-		return ErrCut
-	}
-	return nil
+	return s.forward(a, answer, a.splitter.partial)
 }
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -46,21 +46,24 @@
 // the first events of.
 func (s *stream) bindVersion(ctx context.Context) error {
 	j := s.job
-	if !j.route.Resumable || j.version.IsPresent() {
+	if !j.route.Resumable || j.boundVersion().IsPresent() {
 		return nil
 	}
-	if j.version = j.Version; j.version.IsPresent() || !j.Continues {
-		return s.checkVersion()
+	version := j.Version
+	if !version.IsPresent() && !j.Continues {
+		return nil
+	}
+	if !version.IsPresent() && j.Origin != "" {
+		version = j.core.options.Origins.Find(ctx, j.Origin)
 	}
-	if j.Origin != "" {
-		j.version = j.core.options.Origins.Find(ctx, j.Origin)
+	if known, ok := version.Get(); ok {
+		j.bindVersion(known)
+		return s.checkVersion()
 	}
 	versions := j.core.servers.versions(j.service.Name)
 	switch {
-	case j.version.IsPresent():
-		return s.checkVersion()
 	case len(versions) == 1:
-		j.version = option.Some(versions[0])
+		j.bindVersion(versions[0])
 		return nil
 	case len(versions) == 0:
 		return nil
@@ -73,7 +76,7 @@
 // checkVersion refuses a stream at once if no server of its software version may go on with it.
 func (s *stream) checkVersion() error {
 	j := s.job
-	version, bound := j.version.Get()
+	version, bound := j.boundVersion().Get()
 	if !bound || j.core.servers.anyOfVersion(j.service.Name, version, j.regions) {
 		return nil
 	}
@@ -83,26 +86,24 @@
 
 // recordVersion binds the stream to the software version of the server that sent its first event, and lets
 // other hosts know it.
-func (s *stream) recordVersion() {
+func (s *stream) recordVersion(a *attempt) {
 	j := s.job
 	if !j.route.Resumable {
 		return
 	}
-	if !j.version.IsPresent() {
-		j.version = option.Some(s.engine.Version)
-	}
+	version := j.bindVersion(a.engine.Version)
 	attempt := j.ID
 	if j.Continues {
 		attempt = j.Origin
 	}
-	if version, _ := j.version.Get(); attempt != "" {
+	if attempt != "" {
 		j.core.options.Origins.Record(attempt, version)
 	}
 }
 
 // otherVersions returns the servers that the stream must not go on at.
 func (j *job) otherVersions() []string {
-	version, bound := j.version.Get()
+	version, bound := j.boundVersion().Get()
 	if !bound {
 		return nil
 	}
@@ -111,7 +112,7 @@
 
 // fits reports whether the stream may go on at a server.
 func (j *job) fits(s Server) bool {
-	version, bound := j.version.Get()
+	version, bound := j.boundVersion().Get()
 	return !bound || s.Version == version
 }
 
@@ -119,10 +120,10 @@
 // software version are not among those that the owner places it at.
 func (s *stream) chooseFitting(ctx context.Context) (Server, bool) {
 	j := s.job
-	if !j.version.IsPresent() {
+	if !j.boundVersion().IsPresent() {
 		return Server{}, false
 	}
-	except := slices.Concat(j.triedInstances, s.unavailable, j.otherVersions())
+	except := slices.Concat(j.triedInstances, s.unavailable, s.silent, j.otherVersions())
 	for {
 		engine, ok := j.core.servers.choosePlain(j.service.Name, idleFirstEventTime(j.Request), j.regions, except)
 		if !ok || ctx.Err() != nil {
