relay: leave one retry for streams that may be lost

Streams at an engine that died were held to their deadlines where the budget of retries was used up: requests that full servers had refused took every retry, although their callers are told that nothing ran and when to return. Such requests leave one retry now, if a host may spend more than one at once.

--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -43,6 +43,9 @@
 // TryTake takes a retry if one is available.
 func (r RetryBudget) TryTake() bool { return r.r.tryTake("s") }
 
+// TryTakeSpare takes a retry for a request that no server has run, if one is available.
+func (r RetryBudget) TryTakeSpare() bool { return r.r.tryTakeSpare("s") }
+
 // GiveBack returns a retry.
 func (r RetryBudget) GiveBack() { r.r.giveBack("s") }
 
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -101,7 +101,7 @@
 		return nil
 	}
 	if v.Verdict == verdict.NotRun {
-		if j.sendCount() >= maxSends || v.Reason == verdict.ReasonRefused && !j.core.retries.tryTake(j.service.Name) {
+		if j.sendCount() >= maxSends || v.Reason == verdict.ReasonRefused && !j.core.retries.tryTakeSpare(j.service.Name) {
 			return j.refuse(verdict.ReasonOverload, fullRetryAfter, "no server took it: %v", err)
 		}
 		return nil
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -94,15 +94,24 @@
 
 // Two goroutines of a node may each set a configuration; the later call may have the older
 // one.
-// Retries that were taken and not used were lost.
+// Retries that were taken and not used were lost, and requests that no server had run took the last one.
 func TestUnusedRetriesAreLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := relay.NewRetryBudget(0, 1, time.Hour, 1)
-		assert.Check(t, b.TryTake())
+		b := relay.NewRetryBudget(0, 40, time.Hour, 1)
+		taken := 0
+		for b.TryTakeSpare() {
+			taken++
+		}
+		assert.Equal(t, taken, 13)
+		assert.Check(t, b.TryTake(), "no retry is left for a request that may have run")
 		assert.Check(t, !b.TryTake())
 		b.GiveBack()
 		assert.Check(t, b.TryTake())
 		assert.Check(t, !b.TryTake())
+		// With one retry at a time, requests that no server has run may take it.
+		small := relay.NewRetryBudget(0, 1, time.Hour, 10)
+		assert.Check(t, small.TryTakeSpare())
+		assert.Check(t, !small.TryTake())
 	})
 }
 
--- a/internal/relay/retries.go
+++ b/internal/relay/retries.go
@@ -92,6 +92,19 @@
 	return true
 }
 
+// tryTakeSpare is tryTake for a request that no server has run. It leaves one retry, if more than one may be
+// spent at once, for a request that may have run.
+func (r *retryBudget) tryTakeSpare(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b := r.refilledBucket(service)
+	if b.tokens < min(2, burst(r.hostReserve())) {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
 // giveBack returns a retry that was taken and not used.
 func (r *retryBudget) giveBack(service string) {
 	r.mu.Lock()
