handover, relay: leave a silent host only if another can serve the request

A request at another host was cancelled after 2 s without a frame, also if the host was only stopped for a while, and only then a retry and a further host were looked for: without them the caller got an error, and an answer that had begun was always cut off, with nothing in its place.

A request without an answer is cancelled once a retry is taken and another host is known, one whose answer has begun only when its host is no longer among those that reach backend servers. A retry that was taken is used for the next host.

Shown by two tests that failed before (TestSilentHostIsLeftWithoutRetry: error after 3 s instead of the answer; TestAnswerOfSilentHostIsCut) and one that was replaced: TestSilentHostIsGivenUpOnlyIfRequestMayRunAgain wanted a host to be left although no other was known, which is the fault; it wants that host kept now, and left within 2.5 s of silence where another is known.

--- a/internal/handover/client.go
+++ b/internal/handover/client.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,9 +29,10 @@
 	// acceptDivisor the share of the time left that this may take.
 	acceptTimeout = 500 * time.Millisecond
 	acceptDivisor = 4
-	// silenceTimeout is how long another host may send nothing before a request that may run
-	// again is cancelled there: several intervals of progress.
-	silenceTimeout = 2 * time.Second
+	// silenceTimeout is how long another host may send nothing before a request that can run elsewhere
+	// is cancelled there: several intervals of progress. It is checked each silenceCheckInterval.
+	silenceTimeout       = 2 * time.Second
+	silenceCheckInterval = silenceTimeout / 8
 	// drainTimeout limits the time for the end of a body after its last frame.
 	drainTimeout = 20 * time.Millisecond
 	// hopTime is how much sooner the time of a request ends at the other host, so that its
@@ -146,10 +148,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	r := &receiver{frames: frameReader{reader: response.Body}, sink: sink, runs: h.Runs}
-	if h.Repeatable {
-		r.onSilence = func() { cancel(errSilent) }
-	}
+	stopWatch := c.watch(r, target, h, &result.RetryTaken, func() { cancel(errSilent) })
 	err = r.run()
+	stopWatch()
 	if r.frames.ended {
 		drain(response.Body, cancel)
 	}
@@ -195,12 +196,61 @@
 	return err
 }
 
+// watch cancels a request at another host that has fallen silent, if the request can do without that host. It
+// sets retryTaken if a retry was taken for it. The returned function ends the watch and must be called.
+func (c *Client) watch(r *receiver, target netip.AddrPort, h relay.Handoff, retryTaken *bool, cancel func()) (stop func()) {
+	ctx, stopWatch := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ticker := time.NewTicker(silenceCheckInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			if !r.isSilent(time.Now()) {
+				continue
+			}
+			gone := !slices.ContainsFunc(c.options.Targets(), func(t Target) bool { return t.Peer == target })
+			started, runs := r.state()
+			switch {
+			case started && gone:
+			case !started && h.TakeRetry != nil && c.hasOther(target, h.Except) && h.TakeRetry(max(runs, h.Runs+1)):
+				*retryTaken = true
+			default:
+				continue
+			}
+			c.options.Scope.Counter("silent").Inc(1)
+			c.options.Log.WithFields(logrus.Fields{"host": target.String(), "request": h.ID, "started": started, "gone": gone, "runs": runs}).
+				Info("a silent host is left")
+			cancel()
+			return
+		}
+	}()
+	return func() {
+		stopWatch()
+		<-done
+	}
+}
+
+// hasOther reports whether a request can be handed over to a host other than those that were tried.
+func (c *Client) hasOther(target netip.AddrPort, except []netip.AddrPort) bool {
+	return slices.ContainsFunc(c.options.Targets(), func(t Target) bool {
+		return t.Peer != target && !slices.Contains(except, t.Peer)
+	})
+}
+
 // receiver forwards the frames of an answer to a sink.
 type receiver struct {
 	frames frameReader
 	sink   relay.Sink
-	// onSilence, if set, is called if no frame arrives for silenceTimeout.
-	onSilence func()
+
+	mu sync.Mutex
+	// waitingSince is when the receiver began to wait for the next frame; zero while it does not.
+	waitingSince time.Time
 	// started reports whether the sink was started.
 	started bool
 	// runs is the maximum number of runs that the other host has announced.
@@ -210,7 +260,9 @@
 // run forwards an answer. The error wraps errBroken if the answer has no end.
 func (r *receiver) run() error {
 	for {
-		f, err := r.next()
+		r.setWaiting(time.Now())
+		f, err := r.frames.next()
+		r.setWaiting(time.Time{})
 		if err != nil {
 			return err
 		}
@@ -220,12 +272,24 @@
 	}
 }
 
-// next returns the next frame.
-func (r *receiver) next() (frame, error) {
-	if r.onSilence != nil {
-		defer time.AfterFunc(silenceTimeout, r.onSilence).Stop()
-	}
-	return r.frames.next()
+func (r *receiver) setWaiting(since time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waitingSince = since
+}
+
+// isSilent reports whether the receiver has been waiting for a frame too long.
+func (r *receiver) isSilent(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.waitingSince.IsZero() && now.Sub(r.waitingSince) >= silenceTimeout
+}
+
+// state returns whether the sink was started, and the number of runs.
+func (r *receiver) state() (started bool, runs int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.started, r.runs
 }
 
 // forward forwards a frame, and reports whether it was the end of a complete answer.
@@ -236,13 +300,17 @@
 		if err := decode(f, &p); err != nil {
 			return false, err
 		}
+		r.mu.Lock()
 		r.runs = max(r.runs, p.Runs)
+		r.mu.Unlock()
 	case frameHead:
 		var head answerHead
 		if err := decode(f, &head); err != nil {
 			return false, err
 		}
+		r.mu.Lock()
 		r.started = true
+		r.mu.Unlock()
 		if head.OmitEnd {
 			r.sink.OmitEnd()
 		}
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -32,8 +32,9 @@
 // Handoff is a request to be handed over.
 type Handoff struct {
 	*Request
-	// Repeatable means that the request may run again if its outcome is unknown.
-	Repeatable bool
+	// TakeRetry takes a retry for a request that may have run so many times, and reports whether it may
+	// run again. It is nil if the request must not.
+	TakeRetry func(runs int) bool
 	// Except has the hosts that were tried before.
 	Except []netip.AddrPort
 }
@@ -44,8 +45,9 @@
 	Host netip.AddrPort
 	// Runs is the maximum number of times that the request has run so far on all hosts.
 	Runs int
-	// Started reports whether the sink was started.
-	Started bool
+	// Started reports whether the sink was started, and RetryTaken whether a retry was taken.
+	Started    bool
+	RetryTaken bool
 	// Broken reports whether Err is a failure of the connection between the hosts. Otherwise
 	// Err is the error that the other host returned.
 	Broken bool
@@ -130,7 +132,12 @@
 // mayRunAgain reports whether a request that may have run may run once more, and takes a retry
 // from the budget if so.
 func (j *job) mayRunAgain() bool {
-	return j.mayRepeat() && j.possibleRuns() < j.route.MaxAttempts && j.core.retries.tryTake(j.service.Name)
+	return j.mayRepeat() && j.takeRetry(j.possibleRuns())
+}
+
+// takeRetry takes a retry from the budget for a request that may have run so many times, if it may run again.
+func (j *job) takeRetry(runs int) bool {
+	return runs < j.route.MaxAttempts && j.core.retries.tryTake(j.service.Name)
 }
 
 func (j *job) mayRepeat() bool {
@@ -145,7 +152,11 @@
 		request := *j.Request
 		request.Runs, request.Counted, request.LastEvent = j.possibleRuns(), j.counted, j.lastEvent
 		request.Version = j.boundVersion()
-		result := j.core.options.Handover.HandOver(ctx, Handoff{Request: &request, Repeatable: j.mayRepeat(), Except: tried}, sink)
+		handoff := Handoff{Request: &request, Except: tried}
+		if j.mayRepeat() {
+			handoff.TakeRetry = j.takeRetry
+		}
+		result := j.core.options.Handover.HandOver(ctx, handoff, sink)
 		j.setPossibleRuns(result.Runs)
 		if result.Err == nil && sink.refused {
 			return ErrCut
@@ -184,7 +195,7 @@
 		return v.Reason == verdict.ReasonLeaving || v.Reason == verdict.ReasonNotReady || v.Reason == verdict.ReasonNoServer
 	default:
 		// A host that answered has decided itself whether to run the request again.
-		return result.Broken && j.mayRunAgain()
+		return result.Broken && (result.RetryTaken || j.mayRunAgain())
 	}
 }
 
