relay: report overdue engines that a stream stays at to their owners

Since silent sends are kept open, the owner of an engine heard of an overdue prompt only where the send went over a new connection, and a superseded send counted as a success of its engine, which cleared its failures: further prompts were placed at engines that were behind. The owner is told once the first event is overdue, unless the connection may be at fault; an attempt whose place another engine has taken counts as failed, and its prompt leaves the owner's load model.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -229,7 +229,7 @@
 func (s *stream) recordOutcome(ctx context.Context, a *attempt, first time.Duration, failed bool) {
 	c := s.job.core
 	s.mu.Lock()
-	failed = failed && (ctx.Err() == nil || a.finding == findingGone || a.finding == findingSilent)
+	failed = failed && (ctx.Err() == nil || a.superseded && a.finding != "" || errors.Is(context.Cause(ctx), errStreamSilent))
 	s.mu.Unlock()
 	ratio := 0.0
 	if first > 0 && a.expected > 0 {
@@ -239,6 +239,7 @@
 	if first == 0 && a.reportedOverdue.Load() {
 		// Its owner has been notified, and may have received a more favorable report
 		// since.
+		s.withdrawPlacement(a.engine.Instance, a.promptID)
 		return
 	}
 	report := placing.Report{Instance: a.engine.Instance, FirstEventTime: first, Expected: a.expected, Failed: failed}
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -52,13 +52,13 @@
 			ok = false
 		}
 		if !ok {
-			s.withdrawPlacement(place)
+			s.withdrawPlacement(place.Instance, s.prompt.ID)
 			unavailable++
 			s.unavailable = append(s.unavailable, place.Instance)
 			continue
 		}
 		if !j.acquirePermit(ctx, engine) {
-			s.withdrawPlacement(place)
+			s.withdrawPlacement(place.Instance, s.prompt.ID)
 			if ctx.Err() != nil {
 				return Server{}, false
 			}
@@ -78,11 +78,9 @@
 	return Server{}, false
 }
 
-// withdrawPlacement tells the owner of an engine that a prompt was not sent there.
-func (s *stream) withdrawPlacement(place placing.Placement) {
-	s.job.core.options.Engines.QueueReport(s.job.service.Name, placing.Report{
-		Instance: place.Instance, ID: s.prompt.ID, Withdrawn: true,
-	})
+// withdrawPlacement tells the owner of an engine that it does not work on a prompt.
+func (s *stream) withdrawPlacement(instance string, promptID uint64) {
+	s.job.core.options.Engines.QueueReport(s.job.service.Name, placing.Report{Instance: instance, ID: promptID, Withdrawn: true})
 }
 
 // describeStream adds to the prompt what matters for the streams that run beside it.
--- a/internal/relay/relief.go
+++ b/internal/relay/relief.go
@@ -12,7 +12,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/wingvale/wingvale/internal/exchange"
-	"github.com/wingvale/wingvale/internal/placing"
 	"github.com/wingvale/wingvale/verdict"
 )
 
@@ -59,6 +58,9 @@
 	s.mu.Lock()
 	a.finding = f
 	s.mu.Unlock()
+	if waited >= timeout && f != findingConnection && a.watch.activity.lastReceived().IsZero() {
+		s.reportSilent(a, waited)
+	}
 	if !s.othersMayDoBetter(f, a) {
 		timeout *= patience
 	}
@@ -241,5 +243,5 @@
 	j := s.job
 	j.core.servers.cancelRequest(engine.Instance)
 	j.core.options.Limits.Released(engine.Instance)
-	j.core.options.Engines.QueueReport(j.service.Name, placing.Report{Instance: engine.Instance, ID: s.prompt.ID, Withdrawn: true})
+	s.withdrawPlacement(engine.Instance, s.prompt.ID)
 }
--- a/internal/relay/watchdog.go
+++ b/internal/relay/watchdog.go
@@ -42,13 +42,19 @@
 		return nil
 	}
 	after := max(minOverdueDelay, overdueFactor*a.expected)
-	return time.AfterFunc(after, func() {
-		a.reportedOverdue.Store(true)
-		j.core.scope.Counter("engines_silent").Inc(1)
-		j.log.WithFields(logrus.Fields{"server": a.engine.Instance, "after_ms": after.Milliseconds(), "expected_ms": a.expected.Milliseconds()}).
-			Info("the first event is overdue")
-		j.core.options.Engines.ReportSilent(j.service.Name, a.engine.Instance)
-	})
+	return time.AfterFunc(after, func() { s.reportSilent(a, after) })
+}
+
+// reportSilent notifies the engine's owner once that the first event of an attempt is overdue.
+func (s *stream) reportSilent(a *attempt, after time.Duration) {
+	if a.reportedOverdue.Swap(true) {
+		return
+	}
+	j := s.job
+	j.core.scope.Counter("engines_silent").Inc(1)
+	j.log.WithFields(logrus.Fields{"server": a.engine.Instance, "after_ms": after.Milliseconds(), "expected_ms": a.expected.Milliseconds()}).
+		Info("the first event is overdue")
+	j.core.options.Engines.ReportSilent(j.service.Name, a.engine.Instance)
 }
 
 // watchdog measures the silence of an attempt's engine while this host waits for it. It is safe for
