relay: don't send a stream elsewhere at the moment of its end

A stream was sent to a second engine although the first one had just ended it: the watchdog went on as the end of the answer was read, so that a relief that became due in that moment began after the first attempt had claimed the stream, and its answer was awaited. Callers waited for the end, and the second engine ran in vain (TWICE, 45 to 730 ms after the whole answer, in about one of 20 runs of TestEnginesGoOnAsStreamsAreSentElsewhere, eight sites each).

The watchdog pauses with every return of a read, before the attempt claims the stream. So a relief either begins before and is cancelled by the claim, or does not begin.

--- a/internal/relay/stream_answer.go
+++ b/internal/relay/stream_answer.go
@@ -86,10 +86,12 @@
 func (r *watchedReader) Read(buffer []byte) (int, error) {
 	r.watchdog.wait()
 	n, err := r.reader.Read(buffer)
+	r.watchdog.pause()
 	if n > 0 {
-		r.watchdog.received()
+		now := time.Now()
+		r.watchdog.activity.received(now)
 		if r.firstAt.IsZero() {
-			r.firstAt = time.Now()
+			r.firstAt = now
 		}
 	}
 	return n, err
--- a/internal/relay/watchdog.go
+++ b/internal/relay/watchdog.go
@@ -94,10 +94,8 @@
 	}
 }
 
-// received records that data has arrived, which this host handles until wait is called.
-func (w *watchdog) received() {
-	now := time.Now()
-	w.activity.received(now)
+// pause records that this host does not wait until wait is called.
+func (w *watchdog) pause() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.waitingSince = time.Time{}
@@ -137,10 +135,7 @@
 // stop ends the watch.
 func (w *watchdog) stop() {
 	w.activity.end()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.waitingSince = time.Time{}
-	w.stopTimers()
+	w.pause()
 }
 
 // stopTimers stops the timers. The mutex must be held.
