explain: say why a host ended a send and where a silent stream went

wingvale explain names, for each stream that was sent to a second backend server and each send that a host ended, the reason, what was known of the server and what took its place. Its test fails without the change, as no such line existed.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -146,3 +146,20 @@
 		}
 	})
 }
+
+// The trace of a stream did not say why its host ended a send, and where the stream went on.
+func TestTraceLacksSilentServers(t *testing.T) {
+	text := writeTrace(t, readLogs(t, `
+{"msg":"silent stream sent to a second backend server","node":"h","request":"r-1","server":"i-1","second":"i-2","finding":"silent","silent_ms":1000,"others_sending":3,"time":"10:00:01.000"}
+{"msg":"the host ended a send","node":"h","request":"r-1","server":"i-1","reason":"superseded","replaced_by":"i-2","silent_ms":1100,"server_silent_ms":1050,"time":"10:00:01.100"}
+{"msg":"the host ended a send","node":"h","request":"r-1","server":"i-2","reason":"caller_left","time":"10:00:01.200"}
+{"msg":"request ended","node":"h","request":"r-1","outcome":"left","server":"i-2","time":"10:00:01.200"}
+`), "r-1")
+	for _, want := range []string{
+		"i-1 was silent for 1s: the server accepted connections and sent nothing on any; sent to i-2 as well, 3 other servers were sending",
+		"the host ended its send to i-1: another server had answered (i-2); the server's last data came 1.1s before on this connection, 1.05s before on any",
+		"the host ended its send to i-2: the caller had left; the server had sent nothing",
+	} {
+		assert.Check(t, strings.Contains(text, want), "want %q in\n%s", want, text)
+	}
+}
--- a/internal/explain/trace.go
+++ b/internal/explain/trace.go
@@ -147,6 +147,7 @@
 		}
 	}
 	t.writeVersions(&b)
+	t.writeSilence(&b)
 	t.writeAnswerEnd(&b)
 	t.writeTimes(&b)
 	for _, host := range t.MissingHosts {
