platform/soak: stop processes of backend servers

The connections of each backend server of a soak run are held by a process of its own now (the hidden command soak-server), which the pauses of the campaign stop with SIGSTOP and continue with SIGCONT, all of a service or some, in series and beside changes. What the server does itself stays in the soak's process, where the ledger is, and pauses with it.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -41,7 +41,8 @@
 	Demo    demoCommand    `cmd:"" help:"Run both example sites in this process, with a stop and a failure under load."`
 	Version versionCommand `cmd:"" help:"Print the release."`
 
-	KnownRed knownRedCommand `cmd:"" hidden:"" help:"Check the events of go test -json against the list of tests known to fail; for .ci/run."`
+	SoakServer soakServerCommand `cmd:"" hidden:"" help:"Run the connections of a backend server as a process of its own; for soak."`
+	KnownRed   knownRedCommand   `cmd:"" hidden:"" help:"Check the events of go test -json against the list of tests known to fail; for .ci/run."`
 }
 
 // output holds the writers for standard output and standard error of a command.
--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"sync"
@@ -32,16 +33,37 @@
 	For    time.Duration `help:"How long faults are injected." default:"12s"`
 	Jobs   int           `help:"Number of seeds that run at the same time." default:"1"`
 	Dir    string        `help:"Folder for settings and logs; by default a new temporary folder." type:"path"`
+
+	// self is the path of this program.
+	self string
+}
+
+type soakServerCommand struct {
+	Address string `arg:"" help:"IP:PORT to listen at."`
+	Target  string `arg:"" help:"IP:PORT to forward connections to."`
+}
+
+// Run forwards connections until standard input ends.
+func (c soakServerCommand) Run(o *output) error {
+	address, err := netip.ParseAddrPort(c.Address)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	target, err := netip.ParseAddrPort(c.Target)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	return soak.ServeConnections(context.Background(), address, target, os.Stdin, o.out)
 }
 
 // Run runs all seeds and prints a line for each. It fails if any seed fails.
 func (c *soakCommand) Run(o *output) error {
+	var err error
+	if c.self, err = os.Executable(); err != nil {
+		return err
+	}
 	if c.Binary == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		c.Binary = filepath.Join(filepath.Dir(self), "wingvaled")
+		c.Binary = filepath.Join(filepath.Dir(c.self), "wingvaled")
 	}
 	if c.Dir == "" {
 		dir, err := os.MkdirTemp("", "wingvale-soak-")
@@ -83,7 +105,7 @@
 // runSeed runs one seed. It reports whether the seed passed, and the line to print for it.
 func (c *soakCommand) runSeed(job int, seed uint64) (bool, string) {
 	r, err := soak.Run(context.Background(), soak.Options{
-		Binary: c.Binary, Dir: c.Dir, Seed: seed, Nodes: c.Nodes, Duration: c.For, RunNumber: os.Getpid()*maxJobs + job,
+		Binary: c.Binary, ServerBinary: c.self, Dir: c.Dir, Seed: seed, Nodes: c.Nodes, Duration: c.For, RunNumber: os.Getpid()*maxJobs + job,
 	})
 	line := fmt.Sprintf("seed %d: served %d of %d after the last fault; told %v; faults %v", seed, r.Served, r.After, r.Outcomes, r.Faults)
 	if err != nil {
