node: end overdue calls only once a retry is taken

With the budget used up, requests failed (server_failed, unknown) at servers that would have answered a little later.

The call is ended once a retry is taken for it, and goes on without one; each further call of a stage gets twice the time, since all servers may have become slow. Openings of engine streams (8 s) still end before a retry is taken.

--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -44,6 +45,10 @@
 	sends  int
 	costs  []request.StageCost
 	digest request.Digest
+	// attempts counts the calls of the current stage. retryTaken is set once the retry for the next one was
+	// taken from the budget.
+	attempts   int
+	retryTaken atomic.Bool
 	// resumeTried is set once the stream of the caller's checkpoint has been tried.
 	resumeTried bool
 }
@@ -120,6 +125,7 @@
 		s.release()
 		startedAt := time.Now()
 		cost.Attempts++
+		j.attempts = cost.Attempts
 		cost.Server = g.Server
 		cost.Wait += pipeline.Duration(g.Waited)
 		result, err := n.send(ctx, j, s, g, last)
@@ -179,7 +185,7 @@
 		// Nothing was sent, so the retry adds no load.
 		return true
 	}
-	if !n.budget.TakeRetry() {
+	if !j.retryTaken.Swap(false) && !n.budget.TakeRetry() {
 		n.scope.Counter("retries_denied").Inc(1)
 		return false
 	}
@@ -214,7 +220,7 @@
 		n.estimates.Add(s.estimateKey, work)
 	case ctx.Err() != nil:
 		o.Ignored = true
-	case errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, errCallOverdue):
 		// The call took at least that long. If this were not recorded, the estimate would
 		// never show that the whole pool has become slow.
 		n.estimates.Add(s.estimateKey, work)
@@ -265,16 +271,52 @@
 }
 
 func (n *Node) callStage(ctx context.Context, j *job, s *step, call backend.Call, last bool) (json.RawMessage, backend.Report, error) {
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout(j, s))
-	defer cancel()
+	callCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer n.endOverdueCall(j, s, j.attempts, cancel)()
 	body := protocol.StageCall{Workspace: j.workspace.Name, Input: j.spec.Input, Previous: j.previous, Unrepeatable: j.unrepeatable}
 	result, report, err := n.backends.Stage(callCtx, call, body)
+	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(callCtx), errCallOverdue) {
+		v := verdict.As(err)
+		err = verdict.New(v.Verdict, v.Reason, "%w: %w", errCallOverdue, err)
+	}
 	if err == nil && last && !n.appendChunk(j, string(result)) {
 		return nil, report, errAnswerTooLarge()
 	}
 	return result, report, err
 }
 
+var errCallOverdue = errors.New("node: the server did not answer the call in time")
+
+// endOverdueCall ends a call of a repeatable stage that its server does not answer in time, once a retry is
+// there for it. Without one, the call goes on. Each further call of a stage gets twice the time, since all
+// servers may have become slow. The returned function ends the watch.
+func (n *Node) endOverdueCall(j *job, s *step, attempts int, cancel context.CancelCauseFunc) (stop func()) {
+	if j.unrepeatable || attempts >= maxSends {
+		return func() {}
+	}
+	timeout := callTimeout(j, s) << (attempts - 1)
+	ctx, stopWatch := context.WithCancel(context.Background())
+	go func() {
+		ticker := time.NewTicker(timeout)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			if ctx.Err() == nil && n.budget.TakeRetry() {
+				j.retryTaken.Store(true)
+				n.scope.Counter("calls_overdue").Inc(1)
+				cancel(errCallOverdue)
+				return
+			}
+		}
+	}()
+	return stopWatch
+}
+
 func errAnswerTooLarge() error {
 	return verdict.New(verdict.Unknown, verdict.ReasonTooLarge, "node: the answer has more than %d bytes", request.MaxAnswerBytes)
 }
