relay: keep a stream at a leaving server that accepts no connections

A stream was cut off at a server that was leaving, had closed its listener, and was silent for a second: with no other engine it counted as gone for good, since it takes no new work. An engine is given up without anything in its place only once it is no longer listed.

--- a/internal/relay/relief.go
+++ b/internal/relay/relief.go
@@ -69,8 +69,9 @@
 	case f == findingGone && s.giveUp(a):
 		return
 	case s.relieve(parent, a, waited):
-	case f == findingGone && !s.job.core.servers.isOpen(a.engine.Instance):
-		// Nothing can come from the engine any more, and the caller may do better elsewhere.
+	case f == findingGone && !s.job.core.servers.isListed(a.engine.Instance):
+		// Nothing can come from the engine any more, and the caller may do better elsewhere. One that
+		// is leaving may accept no connections and still end its streams.
 		a.cancel(errStreamSilent)
 		return
 	}
--- a/internal/relay/servers.go
+++ b/internal/relay/servers.go
@@ -336,6 +336,13 @@
 	return k != nil && !k.Closed()
 }
 
+// isListed reports whether a server is listed.
+func (s *serverSet) isListed(instance string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byID[instance] != nil
+}
+
 // anyOpen reports whether any server of a service in the given regions accepts work, now
 // or after a pause.
 func (s *serverSet) anyOpen(service string, regions Regions) bool {
