relay: credit the answer of a stream to the server that sent it

A stream that had been sent to a second engine and went on at the first was logged, and counted as evidence that a request harms no server, as an answer of the second: the server of a request was that of its last send. It is set as an attempt takes over now. TestAnswerIsCreditedToOtherServer failed before (second instead of first).

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -86,12 +86,17 @@
 	if a.superseded {
 		return false
 	}
+	changed := s.owner != a
 	for _, other := range s.attempts {
 		if other != a && !other.superseded {
 			other.superseded, other.supersededBy = true, a.engine.Instance
 			other.cancel(errSuperseded)
+			changed = true
 		}
 	}
+	if changed {
+		s.job.setServer(a.engine)
+	}
 	s.owner = a
 	return true
 }
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -226,3 +227,28 @@
 	}
 	c.logOutcome(j, j.Request, nil)
 }
+
+// ServerOfAnswer returns the server that counts as having answered a stream which first sent events, was sent
+// to second as well, and then went on at first, or at second if secondWins.
+func ServerOfAnswer(c *Core, first, second Server, secondWins bool) string {
+	j := newTestJob(c, &Route{}, time.Minute)
+	s := &stream{job: j}
+	s.ended = sync.NewCond(&s.mu)
+	_, a := s.newAttempt(context.Background())
+	a.engine = first
+	j.recordSend(first)
+	s.mu.Lock()
+	s.claim(a)
+	s.mu.Unlock()
+	_, b := s.newAttempt(context.Background())
+	b.engine = second
+	j.recordSend(second)
+	winner := a
+	if secondWins {
+		winner = b
+	}
+	s.mu.Lock()
+	s.claim(winner)
+	s.mu.Unlock()
+	return j.lastServer().Instance
+}
--- a/internal/relay/relief_test.go
+++ b/internal/relay/relief_test.go
@@ -46,3 +46,11 @@
 	assert.NilError(t, err)
 	assert.Equal(t, sink.body.String(), eventStream(1, 2, "\n"))
 }
+
+// An answer was credited to the server that a stream was sent to last, although another one had sent it.
+func TestAnswerIsCreditedToOtherServer(t *testing.T) {
+	first, second := relay.Server{Instance: "first"}, relay.Server{Instance: "second"}
+	site := newLoopbackSite(t)
+	assert.Equal(t, relay.ServerOfAnswer(site.core, first, second, false), "first")
+	assert.Equal(t, relay.ServerOfAnswer(site.core, first, second, true), "second")
+}
--- a/internal/relay/stream_answer.go
+++ b/internal/relay/stream_answer.go
@@ -186,7 +186,6 @@
 	if !a.forwarded {
 		a.forwarded = true
 		a.inputs.release()
-		s.job.setServer(a.engine)
 	}
 }
 
