--- a/internal/explain/silence.go
+++ b/internal/explain/silence.go
@@ -11,7 +11,7 @@
 
 // Messages of the log lines of silent streams and of sends that a host ended.
 const (
-	relievedMessage  = "silent stream sent to a second backend server"
+	hedgedMessage    = "silent stream sent to a second backend server"
 	endedSendMessage = "the host ended a send"
 )
 
@@ -45,7 +45,7 @@
 func (t Trace) writeSilence(b *strings.Builder) {
 	for _, l := range t.Lines {
 		switch l.Message {
-		case relievedMessage:
+		case hedgedMessage:
 			fmt.Fprintf(b, "%s was silent for %v: %s; sent to %s as well, %s other servers were sending\n", l.textField("server"),
 				l.durationField("silent_ms"), explanation(findings, l.textField("finding")), l.textField("second"), l.textField("others_sending"))
 		case endedSendMessage:
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -7,4 +7,7 @@
 //
 // A Dialect defines the header names on the wire. Core.Serve in serve.go is the entry
 // point.
+//
+// A stream whose engine is silent is hedged: it is sent to a second engine beside the first,
+// and the one that sends the next event goes on (hedge.go, attempt.go).
 package relay
--- a/internal/relay/relief.go
+++ b/internal/relay/hedge.go
@@ -31,17 +31,17 @@
 	findingBusy finding = "busy"
 )
 
-// maxReliefs limits how often a stream is sent to a further engine because one is silent. Engines may reject
+// maxHedges limits how often a stream is sent to a further engine because one is silent. Engines may reject
 // it.
-const maxReliefs = 4
+const maxHedges = 4
 
-// patience times the timeout is how long an engine may be silent if it is not known that another one would
+// patienceFactor times the timeout is how long an engine may be silent if it is not known that another one would
 // do better.
-const patience = 2
+const patienceFactor = 2
 
 var (
-	errNoRelief     = errors.New("relay: no other server for a silent stream")
-	errReliefUnsent = verdict.New(verdict.NotRun, verdict.ReasonNoServer, "%w", errNoRelief)
+	errNoHedge     = errors.New("relay: no other server for a silent stream")
+	errHedgeUnsent = verdict.New(verdict.NotRun, verdict.ReasonNoServer, "%w", errNoHedge)
 )
 
 // checkSilence looks at the engine of an attempt whose next event is overdue, and sends the stream to a
@@ -62,13 +62,13 @@
 		s.reportSilent(a, waited)
 	}
 	if !s.othersMayDoBetter(f, a) {
-		timeout *= patience
+		timeout *= patienceFactor
 	}
 	switch {
 	case waited < timeout:
 	case f == findingGone && s.giveUp(a):
 		return
-	case s.relieve(parent, a, waited):
+	case s.hedge(parent, a, waited):
 	case f == findingGone && !s.job.core.servers.isListed(a.engine.Instance):
 		// Nothing can come from the engine any more, and the caller may do better elsewhere. One that
 		// is leaving may accept no connections and still end its streams.
@@ -127,36 +127,36 @@
 	}
 }
 
-// relieve sends the stream of a silent attempt to a second engine, and returns when that has ended. It reports
+// hedge sends the stream of a silent attempt to a second engine, and returns when that has ended. It reports
 // false if the stream can't be sent to one.
-func (s *stream) relieve(parent context.Context, a *attempt, waited time.Duration) bool {
+func (s *stream) hedge(parent context.Context, a *attempt, waited time.Duration) bool {
 	j := s.job
-	if !s.mayRelieve(a) {
+	if !s.mayHedge(a) {
 		return false
 	}
 	if !j.core.retries.tryTake(j.service.Name) {
-		j.core.scope.Counter("reliefs_without_retry").Inc(1)
+		j.core.scope.Counter("hedges_without_retry").Inc(1)
 		return false
 	}
-	ctx, b := s.beginRelief(parent, a)
+	ctx, b := s.beginHedge(parent, a)
 	if b == nil {
 		j.core.retries.giveBack(j.service.Name)
 		return true
 	}
-	err := s.serveRelief(parent, ctx, a, b, waited)
-	if errors.Is(err, errNoRelief) {
+	err := s.serveHedge(parent, ctx, a, b, waited)
+	if errors.Is(err, errNoHedge) {
 		j.core.retries.giveBack(j.service.Name)
 	}
 	s.finish(b, err)
-	return !errors.Is(err, errNoRelief)
+	return !errors.Is(err, errNoHedge)
 }
 
-// mayRelieve reports whether the stream of an attempt may be sent to a second engine.
-func (s *stream) mayRelieve(a *attempt) bool {
+// mayHedge reports whether the stream of an attempt may be sent to a second engine.
+func (s *stream) mayHedge(a *attempt) bool {
 	j := s.job
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.isAlone(a) && !s.fixed && s.reliefs < maxReliefs && s.splitter.canResume() && j.mayRunOnceMore() && !j.suspected() && j.checkBeforeSend() == nil
+	return s.isAlone(a) && !s.fixed && s.hedges < maxHedges && s.splitter.canResume() && j.mayRunOnceMore() && !j.suspected() && j.checkBeforeSend() == nil
 }
 
 // isAlone reports whether an attempt is in progress and no other is. The mutex must be held.
@@ -164,8 +164,8 @@
 	return len(s.attempts) == 1 && s.attempts[0] == a
 }
 
-// beginRelief adds the second attempt, unless the first one has ended or sends again.
-func (s *stream) beginRelief(parent context.Context, a *attempt) (context.Context, *attempt) {
+// beginHedge adds the second attempt, unless the first one has ended or sends again.
+func (s *stream) beginHedge(parent context.Context, a *attempt) (context.Context, *attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, _, waiting := a.watch.silence(); !waiting || !s.isAlone(a) {
@@ -174,12 +174,12 @@
 	if a.answered {
 		s.job.recordSilence()
 	}
-	s.reliefs++
+	s.hedges++
 	return s.addAttempt(parent)
 }
 
-// serveRelief chooses the second engine for a stream and sends it there.
-func (s *stream) serveRelief(parent, ctx context.Context, a, b *attempt, waited time.Duration) error {
+// serveHedge chooses the second engine for a stream and sends it there.
+func (s *stream) serveHedge(parent, ctx context.Context, a, b *attempt, waited time.Duration) error {
 	j := s.job
 	g := a.inputs
 	s.mu.Lock()
@@ -189,7 +189,7 @@
 		g = newStageGraph(j, s.homeZone())
 		defer g.release()
 		if err := s.job.runStages(ctx, g, false); err != nil {
-			return errReliefUnsent
+			return errHedgeUnsent
 		}
 	}
 	s.silent = nil
@@ -199,7 +199,7 @@
 	zone, bytes := s.inputsZone(g)
 	engine, ok := s.chooseEngine(ctx, zone, bytes)
 	if !ok {
-		return errReliefUnsent
+		return errHedgeUnsent
 	}
 	s.begin(b, engine, s.prompt)
 	s.mu.Lock()
@@ -208,10 +208,10 @@
 	s.mu.Unlock()
 	if superseded {
 		s.withdraw(engine)
-		return errReliefUnsent
+		return errHedgeUnsent
 	}
 	j.triedInstances = append(j.triedInstances, engine.Instance)
-	j.core.scope.Tagged(map[string]string{"finding": string(f)}).Counter("streams_relieved").Inc(1)
+	j.core.scope.Tagged(map[string]string{"finding": string(f)}).Counter("streams_hedged").Inc(1)
 	j.log.WithFields(logrus.Fields{
 		"server": a.engine.Instance, "finding": string(f), "silent_ms": waited.Milliseconds(), "second": engine.Instance,
 		"others_sending": j.core.servers.sendingServers(j.service.Name, a.engine.Instance, minSilence),
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -116,8 +116,8 @@
 	Header(request *Request, send ForwardInfo) http.Header
 	// Matches reports whether an answer belongs to the request with the given id.
 	Matches(id string, status int, header http.Header) bool
-	// StatusTarget returns the target of a GET request that servers answer at once, whatever else they
-	// do. It is empty if there is none.
+	// StatusTarget returns the target of a GET request that servers answer at once, even if all their slots
+	// are taken. It is empty if there is none.
 	StatusTarget() string
 	// Head parses the head of an answer from the given run of a server.
 	Head(instance string, status int, header http.Header) Head
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -212,7 +212,7 @@
 	return err
 }
 
-// stream is the answer to one request, produced by one or more engines. While a silent engine is relieved,
+// stream is the answer to one request, produced by one or more engines. While a stream is hedged,
 // only the goroutine of the second attempt chooses engines.
 type stream struct {
 	job    *job
@@ -227,7 +227,7 @@
 	unavailable []string
 	// avoided holds the engines that the prompt is sent to only if no other takes it.
 	avoided []string
-	// silent holds the engines that are no better than the silent one which is to be relieved.
+	// silent holds the engines that are no better than the silent one whose stream is hedged.
 	silent []string
 
 	mu sync.Mutex
@@ -250,8 +250,8 @@
 	complete     bool
 	err          error
 	failedEngine Server
-	// reliefs counts the attempts that were added because an engine was silent.
-	reliefs int
+	// hedges counts the attempts that were added because an engine was silent.
+	hedges int
 	// retryTaken reports whether the retry for the next engine was taken from the budget.
 	retryTaken bool
 }
