--- a/internal/relay/places_test.go
+++ b/internal/relay/places_test.go
@@ -18,7 +18,7 @@
 // fill takes count places of a run, and waits for those of requests that are ending.
 func (s *loopbackSite) fill(t *testing.T, instance string, count int) {
 	t.Helper()
-	const patienceFactor = 10 * time.Second
+	const patience = 10 * time.Second
 	began := time.Now()
 	for taken := 0; taken < count; {
 		if s.limits.Acquire(t.Context(), instance) {
@@ -26,7 +26,7 @@
 			continue
 		}
 		s.limits.Released(instance)
-		assert.Assert(t, time.Since(began) < patienceFactor, "only %d places of %s are free", taken, instance)
+		assert.Assert(t, time.Since(began) < patience, "only %d places of %s are free", taken, instance)
 		time.Sleep(time.Millisecond)
 	}
 }
