review: number the cases of stages left out, order of stages and plain routes anew

Nodes get ports below those of outgoing connections, since a case could not run where a port was taken meanwhile (seen with three cases at once).

--- a/review/4/main.go
+++ b/review/4/main.go
@@ -3,8 +3,8 @@
 
 //go:build review
 
-// Command 4 shows that the stages of a route whose answers aren't streams are never worked on, and that its
-// requests reach their runners without inputs.
+// Command 4 shows that a configuration is never put in force if it has a route whose stages are listed in
+// another order than they run in.
 package main
 
 import (
@@ -14,129 +14,146 @@
 	"net/http"
 	"os"
 	"runtime"
-	"strconv"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/wingvale/wingvale/review/harness"
 )
 
 const (
-	// rate is the number of requests a second, loadTime for how long they come.
-	rate     = 15
-	loadTime = 20 * time.Second
-	// callTime and itemTime are those of scan-intake on the sheet.
-	callTime = 150 * time.Millisecond
-	itemTime = 16 * time.Millisecond
-	workTime = 60 * time.Millisecond
-	deadline = 8 * time.Second
-	host     = "pule25.example"
-	path     = "/puxa400/2f"
-	key      = "9dnn2ctnfzs989anu6ws"
-	engines  = 3
-	// makers is the number of the servers of the stage.
-	makers = 3
+	rate = 50
+	// before and after are for how long requests come before and after the change.
+	before = 5 * time.Second
+	after  = 15 * time.Second
+	// applyTime is config_apply_ms.
+	applyTime = 2000 * time.Millisecond
+	workTime  = 20 * time.Millisecond
+	deadline  = 3 * time.Second
+	host      = "jepu9.example"
+	// movedPath is of the route that the new version moves to another service, and addedPath of the one
+	// that it adds.
+	movedPath = "/bobo563/2f"
+	addedPath = "/wuhu344/2f"
+	// keptKey stays, takenKey is taken away by the new version.
+	keptKey  = "9dnn2ctnfzs989anu6ws"
+	takenKey = "nbkxxmibw6kpqk8bdk9e"
+	runners  = 2
 )
 
+const (
+	oldService = "record-api"
+	newService = "record-api-2"
+)
+
+// sent is what a caller has sent.
+type sent struct {
+	path, key string
+	at        time.Time
+}
+
 // ledger has what callers have sent and servers have seen.
 type ledger struct {
 	record *harness.Record
-	stream bool
-
-	mu sync.Mutex
-	// pieces has the number of pieces by request, and results the request of each result.
-	pieces  map[string]int
-	results map[string]string
-	runs    int
-	calls   atomic.Int64
-	// lacking counts the requests that reached a runner without the results of their pieces.
-	lacking int
+
+	mu       sync.Mutex
+	requests map[string]sent
+	// confirmedAt is when the store had taken the new version; zero before.
+	confirmedAt time.Time
+	// The counts are of requests sent later than applyTime after that.
+	late, byOldService, withTakenKey, refused, right int
+}
+
+// isLate reports whether a request was sent when the new version had to be in force. The mutex must be held.
+func (l *ledger) isLate(s sent) bool {
+	return !l.confirmedAt.IsZero() && s.at.Sub(l.confirmedAt) > applyTime
 }
 
-func (l *ledger) engine(r *harness.Runner, request *http.Request, _ []byte) harness.Answer {
+func (l *ledger) serve(r *harness.Runner, request *http.Request, _ []byte) harness.Answer {
 	id := request.Header.Get("Attempt-Id")
-	inputs := strings.Split(request.Header.Get("Inputs"), ",")
 	l.mu.Lock()
-	lacking := l.pieces[id]
-	for _, handle := range inputs {
-		if l.results[handle] == id {
-			lacking--
+	s, known := l.requests[id]
+	l.record.Line("%s of %s runs %s", r.ID, r.Service, id)
+	if known && l.isLate(s) {
+		if s.path == movedPath && r.Service == oldService {
+			l.byOldService++
+		}
+		if s.key == takenKey {
+			l.withTakenKey++
 		}
-	}
-	l.runs++
-	if lacking > 0 {
-		l.lacking++
-		l.record.Line("MIXED: %s gets request %s without %d of its %d inputs", r.ID, id, lacking, l.pieces[id])
 	}
 	l.mu.Unlock()
-	if lacking > 0 {
-		return harness.Answer{Status: http.StatusBadRequest, Header: http.Header{"Not-Executed": {"1"}}}
-	}
-	l.record.Line("%s runs %s with inputs %v", r.ID, id, inputs)
-	if !l.stream {
-		time.Sleep(workTime)
-		return harness.JSONAnswer(http.StatusOK, map[string]any{"answer": id})
-	}
-	var events []string
-	for i := range 10 {
-		events = append(events, fmt.Sprintf("id: %d\ndata: %s %d\n\n", i+1, id, i+1))
-	}
-	return harness.Answer{Status: http.StatusOK, Events: events, Pause: 17 * time.Millisecond}
+	time.Sleep(workTime)
+	return harness.Answer{Status: http.StatusOK, Body: []byte("the answer to " + id)}
 }
 
-func (l *ledger) stage(r *harness.Runner, request *http.Request, body []byte) harness.Answer {
-	if request.URL.Path != "/wingvale/stage-run" {
-		return harness.Answer{Status: http.StatusOK}
-	}
-	pieces, err := harness.Pieces(body)
-	if err != nil {
-		return harness.Answer{Status: http.StatusBadRequest, Header: http.Header{"Not-Executed": {"1"}}}
-	}
-	l.calls.Add(1)
-	time.Sleep(callTime + time.Duration(len(pieces))*itemTime)
-	items := make([]map[string]string, 0, len(pieces))
+// judge records what a caller got.
+func (l *ledger) judge(node string, id string, s sent, a harness.Reply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, p := range pieces {
-		handle := fmt.Sprintf("%s/%x", r.Address, len(l.results)+0x1000)
-		l.results[handle] = p.ID
-		l.record.Line("%s made %s: piece %d of request %s", r.ID, handle, p.Piece, p.ID)
-		items = append(items, map[string]string{"handle": handle})
+	l.record.Line("request %s (%s, key %.4s) at %s answered: status %d, %d bytes, error %v", id, s.path, s.key, node, a.Status, len(a.Body), a.Err)
+	if !l.isLate(s) {
+		return
+	}
+	l.late++
+	switch {
+	case s.key == keptKey && (a.Status == http.StatusUnauthorized || a.Status == http.StatusNotFound):
+		l.refused++
+	case s.key == keptKey && a.Status == http.StatusOK, s.key == takenKey && a.Status == http.StatusUnauthorized:
+		l.right++
 	}
-	return harness.JSONAnswer(http.StatusOK, map[string]any{"items": items})
 }
 
-func configuration(kind string) map[string]any {
-	route := map[string]any{
-		"name": "r-1", "hostname": host, "path_prefix": "/puxa400/", "kind": kind, "timeout_ms": 8000, "target_latency_ms": 1600,
-		"priority": 0, "service": "logbook-llm", "max_attempts": 1, "public": false, "sticky": true, "resumable": false, "gap_aim_ms": 200,
-		"stages": []any{map[string]any{"service": "scan-intake", "after_rev": []int{}, "bytes": 8000}},
-	}
+func plainRoute(name, prefix, service string) map[string]any {
 	return map[string]any{
-		"version": 7, "routes": []any{route},
-		"services": []any{
-			map[string]any{
-				"name": "logbook-llm", "health_path": "/healthz", "max_conns": 370, "protocol": "h1", "tls": false,
-				"engine": map[string]any{
-					"slots": 64, "kv_capacity_tokens": 614608, "kv_token_bytes": 163840, "link_mbps": 260000.0, "moves": true, "backups": true,
-					"stride": 5, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0, "models": []any{map[string]any{"name": "m"}},
-				},
-			},
-			stageService("scan-intake"),
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "bozi300", "api_keys": []string{key}, "priority": 1}},
+		"name": name, "hostname": host, "path_prefix": prefix, "kind": "idempotent", "timeout_ms": 3000, "target_latency_ms": 300,
+		"priority": 0, "service": service, "max_attempts": 2, "public": false,
 	}
 }
 
-func stageService(name string) map[string]any {
-	return map[string]any{
-		"name": name, "health_path": "/healthz", "max_conns": 370, "protocol": "h1", "tls": false,
-		"pieces": map[string]any{
+// configuration returns a version. Changed is the new one, in which a stage stands before the one that it
+// comes after if reordered.
+func configuration(version int, changed, reordered bool) map[string]any {
+	service, keys := oldService, []string{keptKey, takenKey}
+	var routes []any
+	if changed {
+		service, keys = newService, []string{keptKey}
+		stages := []any{
+			map[string]any{"service": "scan-intake", "after_rev": []int{}, "bytes": 8000},
+			map[string]any{"service": "coop-board", "after_rev": []int{0}, "bytes": 8000},
+		}
+		if reordered {
+			stages = []any{
+				map[string]any{"service": "coop-board", "after_rev": []int{1}, "bytes": 8000},
+				map[string]any{"service": "scan-intake", "after_rev": []int{}, "bytes": 8000},
+			}
+		}
+		routes = append(routes, plainRoute("r-2", "/wuhu344/", newService), map[string]any{
+			"name": "r-3", "hostname": host, "path_prefix": "/puxa400/", "kind": "stream", "timeout_ms": 8000, "target_latency_ms": 1600,
+			"priority": 0, "service": "logbook-llm", "max_attempts": 1, "stages": stages, "public": false, "sticky": true, "resumable": false,
+			"gap_aim_ms": 200,
+		})
+	}
+	routes = append(routes, plainRoute("r-1", "/bobo563/", service))
+	plain := func(name string) map[string]any {
+		return map[string]any{"name": name, "health_path": "/healthz", "max_conns": 110, "protocol": "h1", "tls": false}
+	}
+	stage := func(name string) map[string]any {
+		s := plain(name)
+		s["pieces"] = map[string]any{
 			"slots": 1, "queue": 2, "batch": 8, "call_ms": 150.0, "item_ms": 16.0, "headroom_mb": 39.0, "handle_s": 4.0, "link_mbps": 10000,
-		},
+		}
+		return s
+	}
+	engine := plain("logbook-llm")
+	engine["engine"] = map[string]any{
+		"slots": 64, "kv_capacity_tokens": 614608, "kv_token_bytes": 163840, "link_mbps": 260000.0, "moves": true, "backups": true,
+		"stride": 5, "most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0, "models": []any{map[string]any{"name": "m"}},
+	}
+	return map[string]any{
+		"version": version, "routes": routes,
+		"services": []any{plain(oldService), plain(newService), engine, stage("scan-intake"), stage("coop-board")},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants":  []any{map[string]any{"name": "bozi300", "api_keys": keys, "priority": 1}},
 	}
 }
 
@@ -157,12 +174,12 @@
 		return harness.ExitNotRun, err
 	}
 	defer store.Close()
-	l := &ledger{record: record, stream: !trouble, pieces: make(map[string]int), results: make(map[string]string)}
+	l := &ledger{record: record, requests: make(map[string]sent)}
 	zones := []string{"hall-cj1", "hall-cj2", "hall-dej"}
-	for i := range engines + makers {
-		r := &harness.Runner{ID: fmt.Sprintf("i-%d", 10+i), Service: "logbook-llm", Zone: zones[i%len(zones)], Slots: 64, Handle: l.engine}
-		if i >= engines {
-			r.Service, r.Slots, r.Handle = "scan-intake", 1, l.stage
+	for i := range 2 * runners {
+		r := &harness.Runner{ID: fmt.Sprintf("i-%d", 10+i), Service: oldService, Zone: zones[i%len(zones)], Slots: 24, Handle: l.serve}
+		if i >= runners {
+			r.Service = newService
 		}
 		if err := r.Start(); err != nil {
 			return harness.ExitNotRun, err
@@ -170,11 +187,7 @@
 		defer r.Close()
 		store.Put("servers/"+r.ID, r.Entry("ready"))
 	}
-	kind := "idempotent"
-	if !trouble {
-		kind = "stream"
-	}
-	store.Put("op/config", configuration(kind))
+	store.Put("op/config", configuration(7, false, false))
 	nodes, err := harness.NewNodes(binary, dir, store.Address, zones...)
 	if err != nil {
 		return harness.ExitNotRun, err
@@ -190,53 +203,50 @@
 			return harness.ExitNotRun, err
 		}
 	}
-	time.Sleep(2 * time.Second)
-	sent, served := load(l, nodes)
+	time.AfterFunc(before, func() {
+		confirmed := store.Put("op/config", configuration(9, true, trouble))
+		l.mu.Lock()
+		l.confirmedAt = confirmed
+		l.mu.Unlock()
+		record.Line("the store has taken version 9")
+	})
+	load(l, nodes)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	record.Say("kind %s: %d requests, %d served; %d stage calls; %d arrivals at runners, %d without inputs", kind, sent, served, l.calls.Load(), l.runs, l.lacking)
+	record.Say("of %d requests sent later than %d ms after the confirmation of version 9: %d run by the old service, %d run with the key that was taken away, %d refused with 401 or 404 though route and key are there, %d got the status that version 9 asks for",
+		l.late, applyTime.Milliseconds(), l.byOldService, l.withTakenKey, l.refused, l.right)
 	switch {
-	case l.lacking > 0:
+	case l.byOldService+l.withTakenKey+l.refused > 0:
 		return harness.ExitBroken, nil
-	case served == 0:
-		return harness.ExitNotRun, fmt.Errorf("no request was served")
+	case l.right == 0:
+		return harness.ExitNotRun, fmt.Errorf("no request was handled")
 	}
 	return harness.ExitHeld, nil
 }
 
-// load sends requests and returns how many it sent and how many were served.
-func load(l *ledger, nodes []*harness.Node) (sent int, served int64) {
+// load sends requests for the whole time of the case.
+func load(l *ledger, nodes []*harness.Node) {
 	client := harness.NewClient()
-	var ok atomic.Int64
 	var all sync.WaitGroup
 	ticker := time.NewTicker(time.Second / rate)
 	defer ticker.Stop()
-	for i := range int(loadTime.Seconds() * rate) {
+	for range int((before + after).Seconds() * rate) {
 		<-ticker.C
 		node := nodes[rand.IntN(len(nodes))]
-		pieces := 1 + rand.IntN(2)
-		q := harness.Request{
-			ID: harness.NewID(), Method: http.MethodPost, Host: host, Path: path, Key: key, Body: []byte(strings.Repeat("p", 2000)), Deadline: deadline,
-			Header: http.Header{
-				"Model": {"m"}, "Token-Usage": {"1460,50"}, "Prompt-Prefix": {fmt.Sprintf("5c1e07a2:800,%08x:660", i)},
-				"Pieces": {strconv.Itoa(pieces)}, "Piece-Key": {harness.NewID()},
-			},
+		s := sent{path: movedPath, key: keptKey, at: time.Now()}
+		switch rand.IntN(10) {
+		case 0:
+			s.key = takenKey
+		case 1:
+			s.path = addedPath
 		}
+		q := harness.Request{ID: harness.NewID(), Method: http.MethodGet, Host: host, Path: s.path, Key: s.key, Deadline: deadline}
 		l.mu.Lock()
-		l.pieces[q.ID] = pieces
+		l.requests[q.ID] = s
 		l.mu.Unlock()
-		sent++
-		all.Go(func() {
-			l.record.Line("request %s with %d pieces sent to %s", q.ID, pieces, node.Name)
-			a := harness.Send(client, node.Front, q)
-			l.record.Line("request %s answered: status %d, %d bytes, error %v", q.ID, a.Status, len(a.Body), a.Err)
-			if a.Err == nil && a.Status == http.StatusOK {
-				ok.Add(1)
-			}
-		})
+		all.Go(func() { l.judge(node.Name, q.ID, s, harness.Send(client, node.Front, q)) })
 	}
 	all.Wait()
-	return sent, ok.Load()
 }
 
 func main() {
--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -28,14 +29,24 @@
 	exited                                 chan struct{}
 }
 
+// Ports of nodes are below those that the system gives to outgoing connections.
+const (
+	minPort  = 18000
+	maxPort  = 32000
+	maxTries = 100
+)
+
 // FreeAddress returns an address of the loopback interface that nothing listens at.
 func FreeAddress() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
+	var err error
+	for range maxTries {
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(minPort+rand.IntN(maxPort-minPort)))
+		var l net.Listener
+		if l, err = net.Listen("tcp", address.String()); err == nil {
+			return address, l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return netip.ParseAddrPort(l.Addr().String())
+	return netip.AddrPort{}, err
 }
 
 // NewNodes returns nodes, not started, with the settings that the platform would write from the
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -42,7 +42,7 @@
 func (r *Record) Line(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.writer, "%9.3f %s\n", time.Since(r.startedAt).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(r.writer, "%9.3f %s\n", time.Since(r.startedAt).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // Say writes a line to the record and to the standard output.
