review: keep to the doses of the site file, and end daemons however a case ends

Case 2 has one cut of one engine of six, as node_cut has it, of an address that refuses connections once the engine has ended; it had ten, of an address that reset them.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -15,7 +15,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,19 +24,19 @@
 )
 
 const (
-	// cutShare is the share of the engines that are cut off at once, the default dose of srv_cut. Each cut
-	// lasts from minCut to maxCut, of the 5 s that are the default.
-	cutShare = 0.2
-	minCut   = 1150 * time.Millisecond
-	maxCut   = 1450 * time.Millisecond
+	// One of the engines is cut off once, a share of 0.167: node_cut has 0.17 in the list of the site file.
+	// The cut lasts from minCut to maxCut, of 5.5 s there.
+	minCut = 1150 * time.Millisecond
+	maxCut = 1450 * time.Millisecond
 	// crashAfter is how long after a cut the engine crashes.
 	crashAfter = 40 * time.Millisecond
-	rounds     = 10
-	roundTime  = 8 * time.Second
+	// before and after are for how long callers come before and after the cut.
+	before = 3 * time.Second
+	after  = 8 * time.Second
 	// lapseTime is three check-ins, after which the entry of a crashed runner goes.
 	lapseTime = 3600 * time.Millisecond
 	rate      = 20
-	engines   = 5
+	engines   = 6
 	events    = 96
 	stepTime  = 17 * time.Millisecond
 	// sharedTokens and ownTokens are those of a prompt, of which an engine reads tokensPerMs.
@@ -202,24 +201,23 @@
 // Later a new one takes its place.
 func (s *site) disturb() error {
 	began := time.Now()
-	for range int(cutShare * engines) {
-		e := s.takeBusiest()
-		length := minCut + time.Duration(rand.Int64N(int64(maxCut-minCut)))
-		e.proxy.SetCut(true)
-		s.l.record.Line("%s is cut off for %d ms", e.ID, length.Milliseconds())
-		time.Sleep(crashAfter)
-		s.l.mu.Lock()
-		e.crashed = true
-		s.l.mu.Unlock()
-		e.Close()
-		s.l.record.Line("%s crashes", e.ID)
-		time.Sleep(length - crashAfter)
-		e.proxy.SetCut(false)
-		s.l.record.Line("the way to %s is whole again", e.ID)
-		time.Sleep(time.Until(began.Add(lapseTime)))
-		s.store.Delete("servers/" + e.ID)
-		defer e.proxy.Close()
-	}
+	e := s.takeBusiest()
+	length := minCut + time.Duration(rand.Int64N(int64(maxCut-minCut)))
+	e.proxy.SetCut(true)
+	s.l.record.Line("%s is cut off for %d ms", e.ID, length.Milliseconds())
+	time.Sleep(crashAfter)
+	s.l.mu.Lock()
+	e.crashed = true
+	s.l.mu.Unlock()
+	e.Close()
+	s.l.record.Line("%s crashes", e.ID)
+	time.Sleep(length - crashAfter)
+	e.proxy.Refuse()
+	e.proxy.SetCut(false)
+	s.l.record.Line("the way to %s is whole again", e.ID)
+	time.Sleep(time.Until(began.Add(lapseTime)))
+	s.store.Delete("servers/" + e.ID)
+	defer e.proxy.Close()
 	return s.addEngine()
 }
 
@@ -276,16 +274,13 @@
 		defer close(loaded)
 		load(l, s.nodes, stop)
 	}()
-	for range rounds {
-		began := time.Now()
-		time.Sleep(2 * time.Second)
-		if trouble {
-			if err := s.disturb(); err != nil {
-				return harness.ExitNotRun, err
-			}
+	time.Sleep(before)
+	if trouble {
+		if err := s.disturb(); err != nil {
+			return harness.ExitNotRun, err
 		}
-		time.Sleep(time.Until(began.Add(roundTime)))
 	}
+	time.Sleep(after)
 	close(stop)
 	<-loaded
 	l.mu.Lock()
@@ -332,8 +327,6 @@
 }
 
 func main() {
-	// The daemons end with the thread that started them.
-	runtime.LockOSThread()
 	binary := flag.String("binary", "target/wingvaled", "the daemon")
 	path := flag.String("record", "record.txt", "where to write what was sent, answered and run")
 	flag.Parse()
--- a/review/4/main.go
+++ b/review/4/main.go
@@ -13,7 +13,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"runtime"
 	"sync"
 	"time"
 
@@ -250,8 +249,6 @@
 }
 
 func main() {
-	// The daemons end with the thread that started them.
-	runtime.LockOSThread()
 	binary := flag.String("binary", "target/wingvaled", "the daemon")
 	path := flag.String("record", "record.txt", "where to write what was sent, answered and run")
 	flag.Parse()
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -13,7 +13,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -240,8 +239,6 @@
 }
 
 func main() {
-	// The daemons end with the thread that started them.
-	runtime.LockOSThread()
 	binary := flag.String("binary", "target/wingvaled", "the daemon")
 	path := flag.String("record", "record.txt", "where to write what was sent, answered and run")
 	flag.Parse()
--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -113,11 +113,14 @@
 	n.command = exec.Command(n.binary, "platform")
 	n.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "WINGVALE_SETTINGS=" + n.settingsPath}
 	n.command.Stdout, n.command.Stderr = log, log
-	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := n.command.Start(); err != nil {
 		_ = log.Close()
 		return err
 	}
+	if err := recordPID(n.command.Process.Pid); err != nil {
+		_ = n.command.Process.Kill()
+		return err
+	}
 	n.exited = make(chan struct{})
 	exited := n.exited
 	command := n.command
@@ -129,6 +132,24 @@
 	return nil
 }
 
+// pidsEnv is the environment variable that holds the path of a file to which the process id of each daemon is
+// added, for run.sh to end those that a case has left.
+const pidsEnv = "REVIEW_PIDS"
+
+func recordPID(pid int) error {
+	path := os.Getenv(pidsEnv)
+	if path == "" {
+		return nil
+	}
+	file, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	_, err = fmt.Fprintln(file, pid)
+	return err
+}
+
 // Signal sends a signal to the process.
 func (n *Node) Signal(s syscall.Signal) error { return n.command.Process.Signal(s) }
 
--- a/review/harness/proxy.go
+++ b/review/harness/proxy.go
@@ -9,10 +9,15 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 )
 
-// Proxy stands on the way to a server. While it is cut it passes nothing on, in either direction; what it holds
-// up arrives once the way is back, also if the server's process has ended meanwhile.
+// usualBacklog is the queue of new connections while the way is whole.
+const usualBacklog = 128
+
+// Proxy stands on the way to a server. While it is cut it passes nothing on, in either direction, and new
+// connections hang, but for the first one or two, which are silent. What it holds up arrives once the way is back,
+// also if the server's process has ended meanwhile.
 type Proxy struct {
 	Address netip.AddrPort
 
@@ -35,6 +40,7 @@
 	p.whole = sync.NewCond(&p.mu)
 	go func() {
 		for {
+			p.await()
 			c, err := l.Accept()
 			if err != nil {
 				return
@@ -50,9 +56,27 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cut = cut
+	if cut {
+		p.setBacklog(0)
+	} else {
+		p.setBacklog(usualBacklog)
+	}
 	p.whole.Broadcast()
 }
 
+// setBacklog sets how many new connections may wait.
+func (p *Proxy) setBacklog(count int) {
+	raw, err := p.listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return
+	}
+	// An error means that the listener is closed.
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), count) })
+}
+
+// Refuse makes the address refuse connections from now on, as that of a server that has ended.
+func (p *Proxy) Refuse() { _ = p.listener.Close() }
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
