--- a/review/2/main.go
+++ b/review/2/main.go
@@ -35,7 +35,7 @@
 	after  = 8 * time.Second
 	// lapseTime is three check-ins, after which the entry of a crashed runner goes.
 	lapseTime = 3600 * time.Millisecond
-	rate      = 20
+	rate      = 30
 	engines   = 6
 	events    = 96
 	stepTime  = 17 * time.Millisecond
