relay: hold late events of a silent engine beside a second run

Cause: a stream that was silent for too long is sent to a second engine, and the next event of either send ended the other one. The events that a crashed engine had sent before a partition arrive when the link is whole again, followed by the end of the connection. They ended the second run, and max_attempts left no third one.

Evidence: the host logs "the host ended a send" (superseded) for the second engine and "stream cut off" within the same few milliseconds.

Neither run's events are put behind the other's, and no send is added.

--- a/internal/explain/silence.go
+++ b/internal/explain/silence.go
@@ -13,6 +13,7 @@
 const (
 	hedgedMessage    = "silent stream sent to a second backend server"
 	endedSendMessage = "the host ended a send"
+	lateMessage      = "late events of a silent backend server dropped"
 )
 
 // findings explains what a host found out about a silent server.
@@ -48,6 +49,9 @@
 		case hedgedMessage:
 			fmt.Fprintf(b, "%s was silent for %v: %s; sent to %s as well, %s other servers were sending\n", l.textField("server"),
 				l.durationField("silent_ms"), explanation(findings, l.textField("finding")), l.textField("second"), l.textField("others_sending"))
+		case lateMessage:
+			fmt.Fprintf(b, "%s had sent events up to %s before it ended; a second server goes on after event %s\n", l.textField("server"),
+				l.textField("last_event"), l.textField("after_event"))
 		case endedSendMessage:
 			fmt.Fprintf(b, "the host ended its send to %s: %s", l.textField("server"), explanation(endReasons, l.textField("reason")))
 			if by := l.textField("replaced_by"); by != "" {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -37,6 +37,8 @@
 	gaps     eventGaps
 	// unverifiedEnd reports whether the caller got an answer that is not known to be whole.
 	unverifiedEnd bool
+	// held has the late events that are not forwarded yet. Only the reader of the answer uses it.
+	held []byte
 
 	// The mutex of the stream guards the rest.
 
@@ -45,6 +47,10 @@
 	answered bool
 	// forwarded reports whether any of its events were forwarded.
 	forwarded bool
+	// hedged reports whether the stream was sent to a second engine because this one was silent, and
+	// heldAt when the first of the late events arrived that are held; zero if none are.
+	hedged bool
+	heldAt time.Time
 	// superseded reports whether another attempt has sent the next event. supersededBy is its engine.
 	superseded   bool
 	supersededBy string
@@ -81,8 +87,9 @@
 }
 
 // claim ends all other attempts, because a has sent the next event. It reports false if another has done so
-// before. The mutex must be held.
+// before. The mutex must be held; it is released while another attempt holds late events.
 func (s *stream) claim(a *attempt) bool {
+	s.awaitHeld(a)
 	if a.superseded {
 		return false
 	}
@@ -96,6 +103,7 @@
 	}
 	if changed {
 		s.job.setServer(a.engine)
+		s.ended.Broadcast()
 	}
 	s.owner = a
 	return true
@@ -196,6 +204,7 @@
 		return s.passErrorAnswer(a, answer)
 	}
 	first, err := s.passAnswer(a, answer)
+	s.logHeld(a)
 	took := time.Duration(0)
 	if !first.IsZero() {
 		took = first.Sub(began)
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -191,6 +191,7 @@
 		s.job.recordSilence()
 	}
 	s.hedges++
+	a.hedged = true
 	return s.addAttempt(parent)
 }
 
--- a/internal/relay/loopback_test.go
+++ b/internal/relay/loopback_test.go
@@ -14,6 +14,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -248,14 +249,13 @@
 	return err
 }
 
-var loopbackIDs int
+var loopbackIDs atomic.Int64
 
 // serve sends a request of the given route and returns its answer.
 func (s *loopbackSite) serve(t *testing.T, route string) (*recordingSink, error) {
 	t.Helper()
-	loopbackIDs++
 	sink := &recordingSink{}
-	err := s.core.Serve(t.Context(), loopbackRequest(fmt.Sprintf("r-%d", loopbackIDs), route), sink)
+	err := s.core.Serve(t.Context(), loopbackRequest(fmt.Sprintf("r-%d", loopbackIDs.Add(1)), route), sink)
 	return sink, err
 }
 
--- a/internal/relay/stream_answer.go
+++ b/internal/relay/stream_answer.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/wingvale/wingvale/internal/exchange"
@@ -138,6 +139,9 @@
 					a.flight.answered.Store(true)
 				}
 				a.gaps.add(now, a.splitter.events-before)
+				if s.hold(a, now, whole) {
+					continue
+				}
 				if err := s.forward(a, answer, whole); err != nil {
 					return first, err
 				}
@@ -161,6 +165,11 @@
 		s.mu.Unlock()
 		return verdict.New(verdict.Unknown, verdict.ReasonConnection, "%w: %w", errStreamBroken, errSuperseded)
 	}
+	if len(a.held) > 0 {
+		whole = slices.Concat(a.held, whole)
+		a.held = nil
+		s.job.core.scope.Counter("late_events_forwarded").Inc(1)
+	}
 	s.splitter, s.gaps.lastAt, s.gaps.longest = a.splitter, a.gaps.lastAt, a.gaps.longest
 	isFirst, isHead := !a.forwarded, !s.started
 	s.start(a)
@@ -199,7 +208,7 @@
 	switch {
 	case a.splitter.brokenOff():
 		return verdict.New(verdict.Unknown, verdict.ReasonConnection, "%w: %w", errStreamBroken, errInsideEvent)
-	case answer.Framing == exchange.FramingConnection && !a.splitter.hasEvent():
+	case answer.Framing == exchange.FramingConnection && (!a.splitter.hasEvent() || s.dropsHeld(a)):
 		return verdict.New(verdict.Unknown, verdict.ReasonConnection, "%w: %w", errStreamBroken, errNoEvent)
 	}
 	err := s.forward(a, answer, a.splitter.partial)
