relay, platform: allow stages in any order of the list

Cause: a stage that comes after one with a higher number was taken for an error, and a version with such a stage was never in force. The check guarded two passes over the stages that rely on the order of the list, the depths and the announced loads.

The stages are now ordered by what they come after; only cycles and stages that don't exist are errors.

--- a/internal/relay/catalog.go
+++ b/internal/relay/catalog.go
@@ -97,7 +97,8 @@
 // Stage is work that must be done before a request can run.
 type Stage struct {
 	Service string
-	// After holds the indexes of the stages whose results this stage needs.
+	// After holds the indexes of the stages whose results this stage needs, each once. They may be listed
+	// before or after this one.
 	After []int
 	// ResultBytes is the approximate size of one result.
 	ResultBytes int64
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -92,6 +92,11 @@
 	return newStageGraph(j, "").nextLoads(stage)
 }
 
+// StageDepths returns how many stages a chain has at most from each stage of a route to the end.
+func StageDepths(r *Route) []int {
+	return newStageGraph(&job{Request: &Request{}, route: r}, "").depths
+}
+
 func newTestJob(c *Core, r *Route, held time.Duration) *job {
 	arrived := time.Now()
 	return &job{Request: &Request{Arrived: arrived}, core: c, route: r, deadline: arrived.Add(held)}
--- a/internal/relay/forecast.go
+++ b/internal/relay/forecast.go
@@ -115,10 +115,9 @@
 	announces := make([]bool, len(g.depths))
 	announces[i] = true
 	var loads []stageplan.Load
-	// Stages depend only on earlier ones.
-	for later := i + 1; later < len(g.depths); later++ {
+	for _, later := range g.order {
 		stage := g.job.route.Stages[later]
-		if len(stage.After) == 0 || !announces[g.announcer(stage)] {
+		if announces[later] || len(stage.After) == 0 || !announces[g.announcer(stage)] {
 			continue
 		}
 		announces[later] = true
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -32,7 +32,10 @@
 type stageGraph struct {
 	job *job
 	// zone is where the last results will be used.
-	zone   string
+	zone string
+	// order has the stages in an order in which each follows all that it comes after. depths has how many
+	// stages a chain has at most from each stage to the end, itself included.
+	order  []int
 	depths []int
 	// results holds the results of each stage that has ended.
 	results [][]stageplan.Result
@@ -54,11 +57,9 @@
 	g.depths = make([]int, len(j.route.Stages))
 	g.results = make([][]stageplan.Result, len(j.route.Stages))
 	g.released = make([]bool, len(j.route.Stages))
-	// Stages depend only on earlier ones, so one pass from the end finds the depths.
-	for i := len(j.route.Stages) - 1; i >= 0; i-- {
-		if g.depths[i] == 0 {
-			g.depths[i] = 1
-		}
+	g.order = orderStages(j.route.Stages)
+	for _, i := range slices.Backward(g.order) {
+		g.depths[i] = max(g.depths[i], 1)
 		for _, before := range j.route.Stages[i].After {
 			g.depths[before] = max(g.depths[before], g.depths[i]+1)
 		}
@@ -196,10 +197,8 @@
 // ready reports whether a stage may start now.
 func (g *stageGraph) ready(i int, ended []bool) bool {
 	stage := g.job.route.Stages[i]
-	for _, before := range stage.After {
-		if !ended[before] {
-			return false
-		}
+	if !allOf(ended, stage.After) {
+		return false
 	}
 	if stage.ResultBytes < largeResultBytes {
 		return true
