platform, relay: put versions in force though a part can't be used

Callers were served by an older configuration, and a host that was started meanwhile had none, if one route, service, tenant or limit of a version could not be used by this build, or if a whole number was written as 7.0.

Cause: the version was decoded as one value, and the first error rejected all of it.

Parts are now decoded one by one if the whole can't be. Requests that need a part that can't be used get 503 at once with a time to return ("unusable_route"), each problem is logged as the version comes into force, and a gauge and a counter count them.

--- a/internal/explain/trace.go
+++ b/internal/explain/trace.go
@@ -37,6 +37,7 @@
 	"not_ready":       "the host had no configuration, or could not confirm it",
 	"no_key":          "its key is in no configuration",
 	"no_route":        "its path is in no configuration",
+	"unusable_route":  "its route, or a service that it needs, can't be used as configured; the log of the version in force says why",
 	"leaving":         "the host was about to end",
 	"refused":         "a server turned it away",
 	"connection":      "a connection broke",
--- a/internal/gateway/maintenance.go
+++ b/internal/gateway/maintenance.go
@@ -71,6 +71,7 @@
 // logRejected logs rejected values; the last valid ones stay in force.
 func (n *Node) logRejected(rejected []published.Rejection) {
 	for _, r := range rejected {
+		n.options.Scope.Counter("values_rejected").Inc(1)
 		n.log.WithFields(logrus.Fields{"key": r.Key, "era": r.Era, "revision": r.Revision, "reason": r.Reason}).Warn("published value rejected")
 	}
 }
--- a/internal/gateway/refresh.go
+++ b/internal/gateway/refresh.go
@@ -7,6 +7,8 @@
 	"reflect"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/wingvale/wingvale/internal/listed"
 	"github.com/wingvale/wingvale/internal/notice"
 	"github.com/wingvale/wingvale/internal/placing"
@@ -83,12 +85,25 @@
 			WithField("revision", position.Revision).
 			WithField("bytes", sizeOf(n.directives.Entries(n.options.ConfigurationKey))).
 			WithField("load_aware", n.loadAware(catalog)).
+			WithField("problems", len(catalog.Problems)).
 			Info("configuration in force")
+		n.reportProblems(catalog)
 		catalog.LoadAware = n.loadAware(catalog)
 	}
 	n.core.SetCatalog(catalog)
 }
 
+// maxLoggedProblems limits the log lines about one configuration.
+const maxLoggedProblems = 20
+
+// reportProblems logs and counts the parts of a configuration that can't be used. The others are in force.
+func (n *Node) reportProblems(catalog *relay.Catalog) {
+	n.options.Scope.Gauge("configuration_problems").Update(float64(len(catalog.Problems)))
+	for _, p := range catalog.Problems[:min(len(catalog.Problems), maxLoggedProblems)] {
+		n.log.WithFields(logrus.Fields{"version": catalog.Version, "part": p.Part, "reason": p.Reason}).Warn("a part of the configuration can't be used")
+	}
+}
+
 // loadAware returns whether decisions under a configuration use the load model.
 func (n *Node) loadAware(catalog *relay.Catalog) bool {
 	return n.settings.LoadAware.Enabled(catalog.HasFewSlotEngines())
--- a/internal/relay/catalog.go
+++ b/internal/relay/catalog.go
@@ -20,9 +20,19 @@
 	// keys maps callers' keys to workspaces; nil means that no key is required.
 	keys   map[string]*Workspace
 	Limits Limits
+	// LacksKeys reports whether keys are missing because a workspace can't be used.
+	LacksKeys bool
 	// LoadAware says that decisions use the load model of engines and pools. It is set before
 	// the catalog is in force.
 	LoadAware bool
+	// Problems are the parts of the configuration that can't be used.
+	Problems []Problem
+}
+
+// Problem is a part of a configuration that can't be used, and why.
+type Problem struct {
+	Part   string
+	Reason string
 }
 
 // maxFewSlots is the largest number of slots that counts as few: a single prompt is then 6 in
@@ -85,6 +95,9 @@
 	Stages      []Stage
 	// AllowedRegions are the regions in which the route's requests may be served.
 	AllowedRegions Regions
+	// Unusable is the reason why the route can't be used; all its requests are refused. Only the name, the
+	// host, the prefix and Public are set then.
+	Unusable string
 }
 
 // Target is a service that receives a share of a route's requests.
@@ -196,6 +209,11 @@
 	for i := range services {
 		c.services[services[i].Name] = &services[i]
 	}
+	for i := range routes {
+		for _, reason := range c.missingServices(&routes[i]) {
+			c.Problems = append(c.Problems, Problem{Part: "route " + routes[i].Name, Reason: reason})
+		}
+	}
 	return c
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -299,6 +299,9 @@
 		}
 	}
 	j := &job{Request: r, core: c, route: route, workspace: workspace, catalog: catalog, possibleRunCount: r.Runs, counted: r.Counted}
+	if err := j.checkUsable(); err != nil {
+		return nil, err
+	}
 	j.service = catalog.Service(route.pickTarget(c.randomFloat()))
 	if j.service == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoServer, "relay: route %s names no known service", route.Name).WithRetryAfter(minRetryAfter)
@@ -339,6 +342,9 @@
 		return route, &Workspace{}, nil
 	}
 	workspace, ok := c.Workspace(r.Key)
+	if !ok && c.LacksKeys {
+		return nil, nil, unusable("the key may be one of a workspace that can't be used")
+	}
 	if !ok {
 		return nil, nil, verdict.New(verdict.NotRun, ReasonNoKey, "relay: unknown key")
 	}
