relay: run the stages of plain routes

Cause: only the path of streams ran stages. Plain requests went straight to a server, and nothing refused the route.

The part that runs the stages of a request, again if results are gone, is now used by both paths, and every send of a plain request carries the handles: first send, retry and hedge. A failed or late stage refuses the request as not run before anything is sent.

--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -98,14 +98,14 @@
 
 // maxDurations returns the maximum time that the request may take from its arrival and
 // from its send. If no duration is recorded for its route, that is all of its time, or for
-// a plain answer, which is small, a multiple of the objective.
+// a plain answer without stages, which is small, a multiple of the objective.
 func (j *job) maxDurations() (arrived, sent time.Duration) {
 	arrived, sent, ok := j.core.durations.upperBounds(j.route.Name, j.maxEvents())
 	if ok {
 		return arrived, sent
 	}
 	held := j.deadline.Sub(j.Arrived)
-	if !j.route.Stream {
+	if !j.route.Stream && !j.hasPieces() {
 		held = min(held, time.Duration(unknownRouteFactor*float64(j.route.Objective)))
 	}
 	return held, held
--- a/internal/relay/loopback_test.go
+++ b/internal/relay/loopback_test.go
@@ -44,6 +44,8 @@
 	headerNotRun   = "Not-Run"
 	headerSigned   = "Signed"
 	headerResumeAt = "Resume-At"
+	headerInputs   = "Inputs"
+	headerGone     = "Input-Gone"
 )
 
 // loopbackDialect is the dialect of the scripted servers.
@@ -54,6 +56,9 @@
 	if send.LastEvent != "" {
 		h.Set(headerResumeAt, send.LastEvent)
 	}
+	if len(send.Inputs) > 0 {
+		h.Set(headerInputs, strings.Join(send.Inputs, ","))
+	}
 	return h
 }
 
@@ -62,7 +67,7 @@
 func (loopbackDialect) StatusTarget() string { return "/status" }
 
 func (loopbackDialect) Head(_ string, _ int, h http.Header) relay.Head {
-	return relay.Head{NotRun: h.Get(headerNotRun) != "", Signed: h.Get(headerSigned) != ""}
+	return relay.Head{NotRun: h.Get(headerNotRun) != "", InputMissing: h.Get(headerGone) != "", Signed: h.Get(headerSigned) != ""}
 }
 
 // script writes the bytes of an answer to a request. Its connection is closed in good order
@@ -140,6 +145,7 @@
 	engines  *enginepool.Group
 	limits   *ratelimit.Group
 	suspects *trial.Group
+	stages   *stageRecorder
 	// listed has the servers.
 	listed []*relay.Server
 }
@@ -170,7 +176,9 @@
 	})
 	known := make(chan struct{})
 	close(known)
+	stages := &stageRecorder{}
 	core := relay.New(relay.Options{
+		Stages:  stages.group(ctx, self, owners, log),
 		Context: ctx, Zone: "a", Dialect: loopbackDialect{}, Servers: pool, Engines: engines, Limits: limits, Suspects: suspects,
 		Notices: notice.NewRegistry(notice.Options{
 			SinceBoot: steady, Random: rand.New(rand.NewPCG(1, 2)), Log: log, Scope: tally.NoopScope, UsesLoad: func() bool { return false },
@@ -195,7 +203,7 @@
 	engines.Configure(placed)
 	core.ChangeServers(changes)
 	core.SetCatalog(loopbackCatalog())
-	site := &loopbackSite{core: core, engines: engines, limits: limits, suspects: suspects}
+	site := &loopbackSite{core: core, engines: engines, limits: limits, suspects: suspects, stages: stages}
 	for _, c := range changes {
 		site.listed = append(site.listed, c.New)
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -43,9 +43,28 @@
 	duration time.Duration
 }
 
-// servePlain serves a request whose answer is a single body.
+// servePlain serves a request whose answer is a single body: it runs the stages first, then a server.
 func (j *job) servePlain(ctx context.Context, sink Sink) error {
+	p := preparation{job: j}
+	defer p.release()
+	staged := j.hasPieces()
+	if staged {
+		if err := j.awaitOwners(ctx); err != nil {
+			return err
+		}
+		if err := j.checkServers(); err != nil {
+			return err
+		}
+	}
 	for {
+		var inputs []string
+		if staged {
+			g, err := p.prepare(ctx)
+			if err != nil {
+				return err
+			}
+			inputs = g.inputHandles()
+		}
 		if err := j.checkBeforeSend(); err != nil {
 			return err
 		}
@@ -63,7 +82,7 @@
 			}
 			return err
 		}
-		r, err := j.sendHedged(ctx, server)
+		r, err := j.sendHedged(ctx, server, inputs)
 		final := err == nil && r.err == nil && !j.shouldRetryAnswer(r)
 		if !final || !r.hasMore && r.end != endUnverified {
 			j.endTrial()
@@ -72,6 +91,10 @@
 			return err
 		}
 		if final {
+			if staged {
+				j.recordFirstEvent(r.duration)
+			}
+			p.release()
 			return j.deliver(ctx, r, sink)
 		}
 		if r.err == nil {
@@ -80,6 +103,9 @@
 		if ctxErr := j.contextError(ctx); ctxErr != nil {
 			return ctxErr
 		}
+		if p.mayRepeat(r.err) {
+			continue
+		}
 		if err := j.checkRetry(r.err); err != nil {
 			return err
 		}
@@ -114,7 +140,7 @@
 
 // sendHedged sends a request to a server, and hedges it with a second server if the first is
 // slow and the request may be repeated. It returns the first good answer, or the last failure.
-func (j *job) sendHedged(ctx context.Context, first Server) (*reply, error) {
+func (j *job) sendHedged(ctx context.Context, first Server, inputs []string) (*reply, error) {
 	ctx, cancelCause := context.WithCancelCause(ctx)
 	cancel := func() { cancelCause(errSuperseded) }
 	replies := make(chan *reply, 2)
@@ -122,7 +148,7 @@
 	start := func(s Server) {
 		j.triedInstances = append(j.triedInstances, s.Instance)
 		started++
-		go func() { replies <- j.sendAndRead(ctx, s) }()
+		go func() { replies <- j.sendAndRead(ctx, s, inputs) }()
 	}
 	start(first)
 	var hedge <-chan time.Time
@@ -190,14 +216,17 @@
 	return time.Duration(expectedShare * float64(j.route.Objective))
 }
 
-// sendAndRead sends the request and buffers the answer.
-func (j *job) sendAndRead(ctx context.Context, s Server) *reply {
+// sendAndRead sends the request with the handles of its inputs, and buffers the answer.
+func (j *job) sendAndRead(ctx context.Context, s Server, inputs []string) *reply {
 	began := time.Now()
 	f := &flight{traits: j.traits(), tried: j.triedPart(), id: j.ID}
 	defer j.core.crashes.track(s.Instance, f)()
 	activity := j.core.servers.activity(s.Instance)
 	r := &reply{server: s}
-	r.answer, r.head, r.err = j.send(ctx, s, sendOptions{})
+	r.answer, r.head, r.err = j.send(ctx, s, sendOptions{inputs: inputs})
+	if r.head.InputMissing {
+		r.err = errInputGone
+	}
 	if r.err == nil {
 		activity.received(time.Now())
 		r.body, r.err = io.ReadAll(io.LimitReader(r.answer.Body, maxBufferedBody))
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -78,10 +78,10 @@
 	return deepest
 }
 
-// hasPieces reports whether the request has any pieces to process.
-func (g *stageGraph) hasPieces() bool {
-	for i := range g.job.route.Stages {
-		if g.job.pieceCount(i) > 0 {
+// hasPieces reports whether any stage of the request has pieces to process.
+func (j *job) hasPieces() bool {
+	for i := range j.route.Stages {
+		if j.pieceCount(i) > 0 {
 			return true
 		}
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -17,10 +17,7 @@
 )
 
 const (
-	// maxStageReruns limits how often the stages of one request are rerun because their
-	// results were no longer available.
-	maxStageReruns = 2
-	copyBuffer     = 4 << 10
+	copyBuffer = 4 << 10
 	// minHomeTokens is the number of shared tokens from which a prompt is tied to its home
 	// engine: reading that many again costs about as much as one large result from another
 	// zone.
@@ -37,12 +34,8 @@
 
 // serveStream serves a stream: it runs the stages first, then an engine.
 func (j *job) serveStream(ctx context.Context, sink Sink) error {
-	var g *stageGraph
-	defer func() {
-		if g != nil {
-			g.release()
-		}
-	}()
+	p := preparation{job: j}
+	defer p.release()
 	if err := j.awaitOwners(ctx); err != nil {
 		return err
 	}
@@ -50,25 +43,16 @@
 		return err
 	}
 	s := newStream(j, sink)
+	p.zone = s.homeZone
 	if err := s.bindVersion(ctx); err != nil {
 		return err
 	}
 	s.splitter.resumeAfter(j.LastEvent)
 	defer s.recordEvents()
-	for reruns := 0; ; {
-		if g == nil {
-			if err := j.checkIsolated(); err != nil {
-				return s.callerError(err)
-			}
-			g = newStageGraph(j, s.homeZone())
-			if err := j.runStages(ctx, g, reruns == 0 && j.sendCount() == 0); errors.Is(err, errInputGone) && reruns < maxStageReruns {
-				reruns++
-				g.release()
-				g = nil
-				continue
-			} else if err != nil {
-				return s.callerError(err)
-			}
+	for {
+		g, err := p.prepare(ctx)
+		if err != nil {
+			return s.callerError(err)
 		}
 		if err := j.checkBeforeSend(); err != nil {
 			return s.callerError(err)
@@ -89,7 +73,7 @@
 			return s.callerError(j.refuse(verdict.ReasonNoServer, fullRetryAfter, "no server of %s", j.service.Name))
 		}
 		j.triedInstances = append(j.triedInstances, engine.Instance)
-		err := s.streamFrom(ctx, engine, g)
+		err = s.streamFrom(ctx, engine, g)
 		j.endTrial()
 		if err == nil {
 			return nil
@@ -97,10 +81,7 @@
 		if ctxErr := j.contextError(ctx); ctxErr != nil {
 			return s.callerError(ctxErr)
 		}
-		if errors.Is(err, errInputGone) && reruns < maxStageReruns {
-			reruns++
-			g.release()
-			g = nil
+		if p.mayRepeat(err) {
 			continue
 		}
 		if err := s.checkResume(err); err != nil {
@@ -110,8 +91,7 @@
 			if err := s.goOnAfter(s.failedEngine); err != nil {
 				return s.callerError(err)
 			}
-			g.release()
-			g = nil
+			p.release()
 		}
 	}
 }
@@ -183,35 +163,6 @@
 	return s.job.core.servers.homeZone(s.job.service.Name, s.prompt, s.job.regions)
 }
 
-// errInputGone means that an engine found an input missing; the request did not run.
-var errInputGone = verdict.New(verdict.NotRun, verdict.ReasonRefused, "relay: an input is gone")
-
-// runStages produces the inputs of the request; first reports whether nothing has been
-// produced before.
-func (j *job) runStages(ctx context.Context, g *stageGraph, first bool) error {
-	if !g.hasPieces() {
-		return nil
-	}
-	if need := g.minTime(len(j.route.Stages)) + idleFirstEventTime(j.Request); j.possibleRuns() == 0 && time.Until(j.firstDeadline) < need {
-		return j.refuse(verdict.ReasonDeadline, g.longestWait(), "%v left to begin, %v needed", time.Until(j.firstDeadline).Round(time.Millisecond), need)
-	}
-	if first {
-		if err := g.shed(); err != nil {
-			return err
-		}
-	}
-	began := time.Now()
-	var rest time.Duration
-	if j.possibleRuns() == 0 {
-		_, rest = j.maxDurations()
-	}
-	ctx, free := j.withDrainDeadline(ctx, rest)
-	defer free()
-	err := g.run(ctx)
-	j.stagesDuration += time.Since(began)
-	return err
-}
-
 // stream is the answer to one request, produced by one or more engines. While a stream is hedged,
 // only the goroutine of the second attempt chooses engines.
 type stream struct {
--- a/internal/relay/unusable_test.go
+++ b/internal/relay/unusable_test.go
@@ -16,7 +16,7 @@
 // Requests of routes that can't be used got 404, waited for their stages until their time was over, or reached a
 // server without them.
 func TestRequestOfUnusableRouteIsHeld(t *testing.T) {
-	server := newScriptedServer(t, nil)
+	server := newScriptedServer(t, refuse)
 	site := newLoopbackSite(t, server)
 	route := func(name string) relay.Route {
 		return relay.Route{
