exchange: bound what is read before an answer

Cause: answers of backend servers are read in one place, which read heads without a bound, skipped interim answers without a count, and up to 1 MB of each answer to another request. An answer without the request's id on a new connection was skipped too, though there is no earlier request that it could be for, and the caller waited for one that never came.

Answers of stage servers, peers and the store, and those in the product's own interface, have bounds too.

--- a/client/client.go
+++ b/client/client.go
@@ -71,7 +71,7 @@
 // New returns a client. It does not connect to any node.
 func New(o Options) *Client {
 	if o.Transport == nil {
-		o.Transport = &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DisableCompression: true}
+		o.Transport = &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DisableCompression: true, MaxResponseHeaderBytes: wire.MaxHeadBytes}
 	}
 	return &Client{
 		options:          o,
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/wingvale/wingvale/internal/wire"
 	"github.com/wingvale/wingvale/verdict"
 )
 
@@ -23,7 +24,6 @@
 const (
 	maxIdlePerServer = 64
 	idleTimeout      = 30 * time.Second
-	maxHeaderBytes   = 64 << 10
 	dialTimeout      = time.Second
 )
 
@@ -91,7 +91,7 @@
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerServer,
 		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: wire.MaxHeadBytes,
 	}
 }
 
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -26,6 +26,9 @@
 	// received reports whether any byte has arrived since the connection was last taken
 	// from the pool.
 	received atomic.Bool
+	// isLimited reports whether only readLeft more bytes may be read.
+	isLimited bool
+	readLeft  int
 }
 
 func newConn(c net.Conn) *conn {
@@ -36,7 +39,16 @@
 
 // Read reads from the connection and records whether a byte has arrived.
 func (c *conn) Read(buffer []byte) (int, error) {
+	if c.isLimited {
+		if c.readLeft == 0 {
+			return 0, errHeadTooLong
+		}
+		buffer = buffer[:min(len(buffer), c.readLeft)]
+	}
 	n, err := c.Conn.Read(buffer)
+	if c.isLimited {
+		c.readLeft -= n
+	}
 	if n > 0 {
 		c.received.Store(true)
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"github.com/wingvale/wingvale/internal/wire"
 	"github.com/wingvale/wingvale/verdict"
 )
 
@@ -22,10 +23,6 @@
 	// read. Longer requests are written concurrently, because the server may answer before
 	// it has read the request, or not read it at all.
 	maxSyncRequest = 2 << 10
-	// maxStrayAnswers limits the number of answers to other requests that are skipped on
-	// one connection, and maxStrayBytes the length of each.
-	maxStrayAnswers = 2
-	maxStrayBytes   = 1 << 20
 	// silenceThreshold is how long a request must have waited on a reused connection
 	// without receiving a byte for the other idle connections to that server to be
 	// considered silent too. It is many times a server's usual response time.
@@ -94,7 +91,7 @@
 	}
 	began := time.Now()
 	c.received.Store(false)
-	e := &exchange{pool: p, call: call, conn: c}
+	e := &exchange{pool: p, call: call, conn: c, reused: reused}
 	e.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if reused && call.SilentAfter > 0 {
 		overdue := time.AfterFunc(max(call.SilentAfter, silenceThreshold), func() {
@@ -126,6 +123,8 @@
 	call Call
 	conn *conn
 	stop func() bool
+	// reused reports whether the connection has carried another request.
+	reused bool
 	// writeResult receives the result of writing the request; it is nil once that has been
 	// received.
 	writeResult chan error
@@ -175,25 +174,34 @@
 	return b.Bytes()
 }
 
-// readHead reads the head of the answer that belongs to the request.
+// readHead reads the head of the answer that belongs to the request. A server may send bytes without end that are
+// no answer, so all that is read before is limited.
 func (e *exchange) readHead() (*Answer, error) {
 	asked := &http.Request{Method: e.call.Method}
-	for stray := 0; ; {
+	left := wire.MaxHeadBytes
+	for stray, interim := 0, 0; ; {
+		e.conn.limitRead(left)
 		response, err := http.ReadResponse(e.conn.reader, asked)
+		left = e.conn.readLeft
+		e.conn.unlimitRead()
 		if err != nil {
 			return nil, e.readError(err)
 		}
 		if response.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterimAnswers {
+				return nil, e.readError(badAnswer("more than %d interim answers", maxInterimAnswers))
+			}
 			continue
 		}
 		if e.call.Matches == nil || e.call.Matches(response.StatusCode, response.Header) {
 			return e.newAnswer(response), nil
 		}
-		if stray++; stray > maxStrayAnswers || response.Close {
-			return nil, verdict.New(verdict.Unknown, verdict.ReasonBadAnswer, "exchange: answers of other requests")
+		// On a new connection there is no earlier request that the answer could be for.
+		if stray++; !e.reused || stray > maxStrayAnswers || response.Close {
+			return nil, e.readError(badAnswer("answers of other requests"))
 		}
 		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes)); err != nil || n == maxStrayBytes {
-			return nil, verdict.New(verdict.Unknown, verdict.ReasonBadAnswer, "exchange: another request's answer has no end")
+			return nil, e.readError(badAnswer("another request's answer has no end"))
 		}
 	}
 }
@@ -210,6 +218,12 @@
 			return v
 		}
 	}
+	if errors.Is(err, errHeadTooLong) {
+		err = badAnswer("%w", err)
+	}
+	if v := (*verdict.Error)(nil); errors.As(err, &v) {
+		return v
+	}
 	return verdict.New(verdict.Unknown, verdict.ReasonConnection, "exchange: no answer: %w", err)
 }
 
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -33,6 +33,25 @@
 // serve runs a server that handles each connection with do. It returns a pool that
 // connects to the server, and the number of connections accepted.
 func serve(t *testing.T, do func(conn net.Conn, r *bufio.Reader)) (*exchange.Pool, *atomic.Int32) {
+	t.Helper()
+	pool, opened, _ := serveCounted(t, do)
+	return pool, opened
+}
+
+// readCounter counts the bytes that are read from a connection.
+type readCounter struct {
+	net.Conn
+	count *atomic.Int64
+}
+
+func (c readCounter) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	c.count.Add(int64(n))
+	return n, err
+}
+
+// serveCounted is serve, and also returns how many bytes the pool has read.
+func serveCounted(t *testing.T, do func(conn net.Conn, r *bufio.Reader)) (*exchange.Pool, *atomic.Int32, *atomic.Int64) {
 	t.Helper()
 	network := memnet.New(nil)
 	l, err := network.Listen(server)
@@ -51,12 +70,20 @@
 			}()
 		}
 	}()
-	pool := exchange.NewPool(network.Dialer(caller), exchange.Unobserved{})
+	var count atomic.Int64
+	dial := network.Dialer(caller)
+	pool := exchange.NewPool(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return readCounter{Conn: conn, count: &count}, nil
+	}, exchange.Unobserved{})
 	t.Cleanup(func() {
 		pool.Close()
 		_ = l.Close()
 	})
-	return pool, &opened
+	return pool, &opened, &count
 }
 
 func get(id string) exchange.Call {
--- a/internal/gateway/traffic.go
+++ b/internal/gateway/traffic.go
@@ -47,7 +47,10 @@
 	return s.Counter("bytes_sent"), s.Counter("bytes_received")
 }
 
-// client returns a transport that counts the bodies of requests and responses.
+// maxPeerMessage limits the answer of a peer, except one that is an answer to a caller.
+const maxPeerMessage = 8 << 20
+
+// client returns a transport that counts the bodies of requests and responses, and limits those of responses.
 func (t traffic) client(next http.RoundTripper) http.RoundTripper {
 	return countingTransport{traffic: t, next: next}
 }
@@ -75,6 +78,9 @@
 		return nil, err
 	}
 	response.Body = countingBody{ReadCloser: response.Body, counter: received}
+	if r.URL.Path != handover.Path {
+		response.Body = http.MaxBytesReader(nil, response.Body, maxPeerMessage)
+	}
 	return response, nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/wingvale/wingvale/internal/queue"
 	"github.com/wingvale/wingvale/internal/settings"
 	"github.com/wingvale/wingvale/internal/table"
+	"github.com/wingvale/wingvale/internal/wire"
 	"github.com/wingvale/wingvale/pipeline"
 )
 
@@ -170,9 +171,10 @@
 				defer cancel()
 				return dial(ctx, network, address)
 			},
-			MaxIdleConnsPerHost: 8,
-			IdleConnTimeout:     30 * time.Second,
-			DisableCompression:  true,
+			MaxIdleConnsPerHost:    8,
+			IdleConnTimeout:        30 * time.Second,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: wire.MaxHeadBytes,
 			// An issuer accepts a request at once. One that hangs must not block a request
 			// that could run on another node.
 			ResponseHeaderTimeout: forwardHeaderTimeout,
--- a/internal/peerhttp/transport.go
+++ b/internal/peerhttp/transport.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/wingvale/wingvale/internal/wire"
 )
 
 const (
@@ -70,9 +72,10 @@
 			defer cancel()
 			return t.dial(ctx, network, address)
 		},
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		MaxIdleConnsPerHost:    maxIdleConns,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: wire.MaxHeadBytes,
 	}}
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -21,6 +21,9 @@
 	TypeEvents  = "text/event-stream"
 )
 
+// MaxHeadBytes limits the head of an answer, in bytes.
+const MaxHeadBytes = 64 << 10
+
 // ErrTooLarge means that a body exceeds its size limit.
 var ErrTooLarge = errors.New("wire: body too large")
 
