relay: take stages that a request leaves out from its graph

Cause: what a stage needs was read from the configuration. A stage without pieces counted as ended with no results, and the results before it as used.

What comes after a stage that is left out, the request itself included, now gets the results of the stages before it. A stage that comes after others which are all left out can't get inputs: the request is refused with 400 at once and nothing is run.

--- a/internal/explain/trace.go
+++ b/internal/explain/trace.go
@@ -38,6 +38,7 @@
 	"no_key":          "its key is in no configuration",
 	"no_route":        "its path is in no configuration",
 	"unusable_route":  "its route, or a service that it needs, can't be used as configured; the log of the version in force says why",
+	"stages_left_out": "one of its stages needs results, and it leaves out all stages before that one",
 	"leaving":         "the host was about to end",
 	"refused":         "a server turned it away",
 	"connection":      "a connection broke",
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -97,6 +97,22 @@
 	return newStageGraph(&job{Request: &Request{}, route: r}, "").depths
 }
 
+// StageInputs returns the stages with pieces whose results each stage of a route needs, and those whose results the
+// request itself needs. It reports false if a request with these numbers of pieces is refused.
+func StageInputs(r *Route, pieces []int) (after [][]int, last []int, served bool) {
+	j := &job{Request: &Request{Pieces: pieces}, route: r}
+	if j.checkLeftOut() != nil {
+		return nil, nil, false
+	}
+	g := newStageGraph(j, "")
+	for i, depth := range g.depths {
+		if depth == 1 {
+			last = append(last, i)
+		}
+	}
+	return g.after, last, true
+}
+
 func newTestJob(c *Core, r *Route, held time.Duration) *job {
 	arrived := time.Now()
 	return &job{Request: &Request{Arrived: arrived}, core: c, route: r, deadline: arrived.Add(held)}
--- a/internal/relay/forecast.go
+++ b/internal/relay/forecast.go
@@ -4,7 +4,6 @@
 package relay
 
 import (
-	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -50,7 +49,7 @@
 // much memory is held elsewhere while the stage waits.
 func (g *stageGraph) deferrable(i int) bool {
 	var inputs int64
-	for _, before := range g.job.route.Stages[i].After {
+	for _, before := range g.after[i] {
 		inputs += int64(g.job.pieceCount(before)) * g.job.route.Stages[before].ResultBytes
 	}
 	return inputs < stageplan.MaxDeferredInputs && !g.hasSiblingResults(i)
@@ -116,23 +115,12 @@
 	announces[i] = true
 	var loads []stageplan.Load
 	for _, later := range g.order {
-		stage := g.job.route.Stages[later]
-		if announces[later] || len(stage.After) == 0 || !announces[g.announcer(stage)] {
+		pieces := g.job.pieceCount(later)
+		if announces[later] || pieces == 0 || len(g.after[later]) == 0 || !announces[g.after[later][0]] {
 			continue
 		}
 		announces[later] = true
-		if pieces := g.job.pieceCount(later); pieces > 0 {
-			loads = append(loads, stageplan.Load{Service: stage.Service, Pieces: pieces})
-		}
+		loads = append(loads, stageplan.Load{Service: g.job.route.Stages[later].Service, Pieces: pieces})
 	}
 	return loads
 }
-
-// announcer returns the stage before a stage that announces it: the first one with pieces, or the first
-// one if none has any. The stage must have one before it.
-func (g *stageGraph) announcer(stage Stage) int {
-	if i := slices.IndexFunc(stage.After, func(before int) bool { return g.job.pieceCount(before) > 0 }); i >= 0 {
-		return stage.After[i]
-	}
-	return stage.After[0]
-}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -302,6 +302,9 @@
 	if err := j.checkUsable(); err != nil {
 		return nil, err
 	}
+	if err := j.checkLeftOut(); err != nil {
+		return nil, err
+	}
 	j.service = catalog.Service(route.pickTarget(c.randomFloat()))
 	if j.service == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.ReasonNoServer, "relay: route %s names no known service", route.Name).WithRetryAfter(minRetryAfter)
--- a/internal/relay/stage_order_test.go
+++ b/internal/relay/stage_order_test.go
@@ -4,7 +4,9 @@
 package relay_test
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -68,3 +70,61 @@
 		assert.Assert(t, relay.CheckStages(stages) != nil, "%+v", stages)
 	}
 }
+
+// neededBy returns the stages with pieces whose results a stage needs, by recursion.
+func neededBy(stages []relay.Stage, pieces []int, stage int) map[int]bool {
+	needed := make(map[int]bool)
+	for _, before := range stages[stage].After {
+		if pieces[before] > 0 {
+			needed[before] = true
+			continue
+		}
+		maps.Copy(needed, neededBy(stages, pieces, before))
+	}
+	return needed
+}
+
+// What came after a stage that a request left out got no inputs, and a request without its last stage was never
+// served.
+func TestStageAfterLeftOutOneGetsNoInputs(t *testing.T) {
+	const graphs = 100000
+	random := rand.New(rand.NewPCG(1, 1))
+	refused := 0
+	for range graphs {
+		stages := randomStages(random)
+		pieces := make([]int, len(stages))
+		for i := range pieces {
+			pieces[i] = random.IntN(3)
+		}
+		after, last, served := relay.StageInputs(&relay.Route{Stages: stages}, pieces)
+		wantServed, wantLast := true, make(map[int]bool)
+		for i := range stages {
+			wantLast[i] = pieces[i] > 0
+		}
+		for i, stage := range stages {
+			if pieces[i] == 0 {
+				continue
+			}
+			needed := neededBy(stages, pieces, i)
+			wantServed = wantServed && (len(needed) > 0 || len(stage.After) == 0)
+			for before := range needed {
+				wantLast[before] = false
+			}
+			if served {
+				assert.Equal(t, len(after[i]), len(needed), "stage %d of %+v with pieces %v", i, stages, pieces)
+				for _, before := range after[i] {
+					assert.Assert(t, needed[before], "stage %d of %+v with pieces %v", i, stages, pieces)
+				}
+			}
+		}
+		assert.Equal(t, served, wantServed, "%+v with pieces %v", stages, pieces)
+		if !served {
+			refused++
+			continue
+		}
+		for i := range stages {
+			assert.Equal(t, slices.Contains(last, i), wantLast[i], "stage %d of %+v with pieces %v", i, stages, pieces)
+		}
+	}
+	assert.Assert(t, refused > graphs/100 && refused < graphs/2, "%d refused", refused)
+}
--- a/internal/relay/staged_test.go
+++ b/internal/relay/staged_test.go
@@ -255,3 +255,47 @@
 		})
 	}
 }
+
+// Pieces of a stage after one that the request leaves out, and servers of requests without their last stage, got no
+// inputs.
+func TestRequestsThatLeaveStagesOutLackInputs(t *testing.T) {
+	t.Parallel()
+	chain := append(slices.Clone(twoStages), relay.Stage{Service: stageService, After: []int{1}})
+	for _, c := range []struct {
+		pieces []int
+		// inputs are those of the request and of its last stage; none if it is refused.
+		inputs, last []string
+	}{
+		{[]int{1, 0, 1}, []string{"r/2/0"}, []string{"r/0/0"}},
+		{[]int{2, 1, 0}, []string{"r/1/0"}, []string{"r/0/0", "r/0/1"}},
+		{[]int{2, 0, 0}, []string{"r/0/0", "r/0/1"}, nil},
+		{[]int{0, 1, 1}, nil, nil},
+		{[]int{0, 0, 1}, nil, nil},
+	} {
+		for _, kind := range kinds {
+			t.Run(fmt.Sprint(c.pieces, ", ", kind), func(t *testing.T) {
+				t.Parallel()
+				var got []string
+				server := newScriptedServer(t, func(w io.Writer, r *http.Request) bool {
+					got = inputsOf(strings.Split(r.Header.Get(headerInputs), ","))
+					writeWhole(w, r)
+					return false
+				})
+				site := newLoopbackSite(t, server)
+				site.setStages(chain...)
+				request := loopbackRequest("r", kind)
+				request.Pieces = c.pieces
+				err := site.core.Serve(t.Context(), request, &recordingSink{})
+				if c.inputs == nil {
+					assert.Equal(t, verdict.As(err).Reason, relay.ReasonLeftOut, "%v", err)
+					assert.Equal(t, server.requestCount()+len(site.stages.recorded()), 0)
+					return
+				}
+				assert.NilError(t, err)
+				assert.DeepEqual(t, got, c.inputs)
+				items := site.stages.recorded()
+				assert.DeepEqual(t, inputsOf(items[len(items)-1].Inputs), c.last)
+			})
+		}
+	}
+}
--- a/internal/relay/stages.go
+++ b/internal/relay/stages.go
@@ -34,9 +34,11 @@
 	// zone is where the last results will be used.
 	zone string
 	// order has the stages in an order in which each follows all that it comes after. depths has how many
-	// stages a chain has at most from each stage to the end, itself included.
+	// stages a chain has at most from each stage to the end, itself included; 0 for a stage without pieces.
 	order  []int
 	depths []int
+	// after has, for each stage, the stages with pieces whose results it needs.
+	after [][]int
 	// results holds the results of each stage that has ended.
 	results [][]stageplan.Result
 	// released marks the stages whose results were released before the end.
@@ -58,9 +60,13 @@
 	g.results = make([][]stageplan.Result, len(j.route.Stages))
 	g.released = make([]bool, len(j.route.Stages))
 	g.order = orderStages(j.route.Stages)
+	g.after = j.stageInputs(g.order)
 	for _, i := range slices.Backward(g.order) {
+		if j.pieceCount(i) == 0 {
+			continue
+		}
 		g.depths[i] = max(g.depths[i], 1)
-		for _, before := range j.route.Stages[i].After {
+		for _, before := range g.after[i] {
 			g.depths[before] = max(g.depths[before], g.depths[i]+1)
 		}
 	}
@@ -197,7 +203,7 @@
 // ready reports whether a stage may start now.
 func (g *stageGraph) ready(i int, ended []bool) bool {
 	stage := g.job.route.Stages[i]
-	if !allOf(ended, stage.After) {
+	if !allOf(ended, g.after[i]) {
 		return false
 	}
 	if stage.ResultBytes < largeResultBytes {
@@ -241,7 +247,7 @@
 	if j.catalog.LoadAware {
 		w.Next = g.nextLoads(i)
 	}
-	for _, before := range stage.After {
+	for _, before := range g.after[i] {
 		for _, r := range g.results[before] {
 			w.Inputs = append(w.Inputs, r.Handle)
 		}
@@ -252,7 +258,7 @@
 // inputBytes returns the expected total size of the inputs of one piece of a stage.
 func (g *stageGraph) inputBytes(i int) int64 {
 	var total int64
-	for _, before := range g.job.route.Stages[i].After {
+	for _, before := range g.after[i] {
 		total += int64(len(g.results[before])) * g.job.route.Stages[before].ResultBytes
 	}
 	return total
@@ -283,7 +289,7 @@
 	}
 	var largest int64
 	zone := ""
-	for _, before := range g.job.route.Stages[i].After {
+	for _, before := range g.after[i] {
 		bytes := g.job.route.Stages[before].ResultBytes
 		if results := g.results[before]; len(results) > 0 && bytes > largest {
 			largest, zone = bytes, results[0].Zone
@@ -329,7 +335,7 @@
 }
 
 // inputHandles returns the handles of the results that the request itself needs: those of
-// the stages that no other stage depends on.
+// the stages that no other stage with pieces depends on.
 func (g *stageGraph) inputHandles() []string {
 	var handles []string
 	for i := range g.job.route.Stages {
@@ -387,8 +393,8 @@
 
 // consumed reports whether all stages that need the results of a stage have ended.
 func (g *stageGraph) consumed(i int, ended []bool) bool {
-	for other, stage := range g.job.route.Stages {
-		if slices.Contains(stage.After, i) && !ended[other] {
+	for other, after := range g.after {
+		if g.job.pieceCount(other) > 0 && slices.Contains(after, i) && !ended[other] {
 			return false
 		}
 	}
