exchange, platform: tell answers to earlier stage calls by their handles

Cause: a stage call took whatever answer came next on its connection, if it had as many results as pieces were asked for.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -29,6 +29,8 @@
 	// isLimited reports whether only readLeft more bytes may be read.
 	isLimited bool
 	readLeft  int
+	// marks has the hashes of texts in the last answers that no others have, at most maxMarks.
+	marks []uint64
 }
 
 func newConn(c net.Conn) *conn {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -53,6 +53,9 @@
 	// Matches reports whether an answer belongs to the request. Other answers are skipped:
 	// they are late answers to earlier requests. If Matches is nil, any answer is accepted.
 	Matches func(status int, header http.Header) bool
+	// Unidentified means that nothing in the head of an answer tells whose it is. The connection is kept only
+	// if Accept is called.
+	Unidentified bool
 }
 
 // Answer is a backend server's answer. Its Body must be read to the end or closed.
@@ -262,6 +265,8 @@
 	header   http.Header
 	reusable bool
 	done     bool
+	// held reports whether the body was read to its clean end and the answer was not accepted yet.
+	held bool
 }
 
 // Read reads from the body. At its end, the connection is returned to the pool if it can
@@ -281,12 +286,20 @@
 		e.abandon()
 		return n, err
 	}
+	if e.call.Unidentified {
+		b.held = true
+		return n, err
+	}
 	e.pool.putIdle(e.call.Address, e.conn, b.header, time.Now())
 	return n, err
 }
 
-// Close closes the connection unless the body was read to its end.
+// Close closes the connection unless the body was read to its end, and the answer accepted if it has to be.
 func (b *body) Close() error {
+	if b.held {
+		b.held = false
+		_ = b.exchange.conn.Close()
+	}
 	if !b.done {
 		b.done = true
 		b.exchange.abandon()
