relay, explain: tell of sends whose bytes are no answer

A trace did not show that a server had sent bytes that are no answer: "send failed" had the error's text alone, and its count was that of all failed sends.

The line has a reason now, such sends are counted on their own (wingvale_bad_answers), and "wingvale explain" has a line for each, and one for late events that were dropped. TestTraceLacksBadAnswersAndLateEvents failed before for the bad answers.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -147,6 +147,24 @@
 	})
 }
 
+// The trace of a request did not say that a server had sent bytes that are no answer, or that late events were
+// dropped.
+func TestTraceLacksBadAnswersAndLateEvents(t *testing.T) {
+	text := writeTrace(t, readLogs(t, `
+{"msg":"send failed","node":"h","request":"r-1","server":"i-1","outcome":"failed","reason":"bad_answer","error":"the heads of the answer are too long","time":"10:00:01.000"}
+{"msg":"send failed","node":"h","request":"r-1","server":"i-3","outcome":"failed","reason":"connection","error":"EOF","time":"10:00:01.010"}
+{"msg":"late events of a silent backend server dropped","node":"h","request":"r-1","server":"i-2","after_event":"3","last_event":"5","second_works":true,"time":"10:00:01.100"}
+{"msg":"request ended","node":"h","request":"r-1","outcome":"answered","server":"i-4","time":"10:00:01.200"}
+`), "r-1")
+	for _, want := range []string{
+		"i-1 sent bytes that are no whole answer to the request (the heads of the answer are too long); the connection was closed, and the request may have run",
+		"i-2 had sent events up to 5 before it ended; a second server goes on after event 3",
+	} {
+		assert.Check(t, strings.Contains(text, want), "want %q in\n%s", want, text)
+	}
+	assert.Check(t, !strings.Contains(text, "i-3 sent bytes"))
+}
+
 // The trace of a stream did not say why its host ended a send, and where the stream went on.
 func TestTraceLacksSilentServers(t *testing.T) {
 	text := writeTrace(t, readLogs(t, `
--- a/internal/explain/silence.go
+++ b/internal/explain/silence.go
@@ -50,8 +50,12 @@
 			fmt.Fprintf(b, "%s was silent for %v: %s; sent to %s as well, %s other servers were sending\n", l.textField("server"),
 				l.durationField("silent_ms"), explanation(findings, l.textField("finding")), l.textField("second"), l.textField("others_sending"))
 		case lateMessage:
-			fmt.Fprintf(b, "%s had sent events up to %s before it ended; a second server goes on after event %s\n", l.textField("server"),
-				l.textField("last_event"), l.textField("after_event"))
+			fmt.Fprintf(b, "%s had sent events up to %s before it ended; ", l.textField("server"), l.textField("last_event"))
+			if works, _ := l.Fields["second_works"].(bool); works {
+				fmt.Fprintf(b, "a second server goes on after event %s\n", l.textField("after_event"))
+			} else {
+				b.WriteString("the second server had ended, too\n")
+			}
 		case endedSendMessage:
 			fmt.Fprintf(b, "the host ended its send to %s: %s", l.textField("server"), explanation(endReasons, l.textField("reason")))
 			if by := l.textField("replaced_by"); by != "" {
--- a/internal/explain/trace.go
+++ b/internal/explain/trace.go
@@ -155,6 +155,7 @@
 	}
 	t.writeVersions(&b)
 	t.writeSilence(&b)
+	t.writeBadAnswers(&b)
 	t.writeCrashes(&b)
 	t.writeAnswerEnd(&b)
 	t.writeTimes(&b)
--- a/internal/relay/send.go
+++ b/internal/relay/send.go
@@ -108,7 +108,11 @@
 
 // logSendFailure logs a send that did not yield an answer.
 func (j *job) logSendFailure(s Server, outcome string, err error) {
+	reason := verdict.As(err).Reason
 	j.core.scope.Counter("sends_failed").Inc(1)
-	j.log.WithError(err).WithField("server", s.Instance).WithField("outcome", outcome).
+	if reason == verdict.ReasonBadAnswer {
+		j.core.scope.Counter("bad_answers").Inc(1)
+	}
+	j.log.WithError(err).WithField("server", s.Instance).WithField("outcome", outcome).WithField("reason", string(reason)).
 		WithField("left_ms", j.remaining().Milliseconds()).WithField("attempts", j.possibleRuns()).Info("send failed")
 }
