relay: hold late events anew beside each further engine

A stream was cut off if late events of its silent engine came after a second engine had refused it while earlier ones were held, and a third one worked on it.

Cause: the time of the first held event, by which the engine shows that it goes on, was that of the earlier hold. It is now set anew with each send to a further engine.

TestLateEventsAfterRefusalEndThirdRun: cut off in 2 of 2 runs before, whole in 3 of 3 under the race detector now.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -48,7 +48,7 @@
 	// forwarded reports whether any of its events were forwarded.
 	forwarded bool
 	// hedged reports whether the stream was sent to a second engine because this one was silent, and
-	// heldAt when the first of the late events arrived that are held; zero if none are.
+	// heldAt when the first event after that arrived which is held; zero if none has.
 	hedged bool
 	heldAt time.Time
 	// superseded reports whether another attempt has sent the next event. supersededBy is its engine.
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -191,7 +191,7 @@
 		s.job.recordSilence()
 	}
 	s.hedges++
-	a.hedged = true
+	a.hedged, a.heldAt = true, time.Time{}
 	return s.addAttempt(parent)
 }
 
--- a/internal/relay/late_test.go
+++ b/internal/relay/late_test.go
@@ -107,6 +107,43 @@
 	}
 }
 
+// A stream was broken off if late events ended the run of a third server, after a second one had refused the
+// stream while earlier ones were held.
+func TestLateEventsAfterRefusalEndThirdRun(t *testing.T) {
+	t.Parallel()
+	const events = 3
+	var sends atomic.Int64
+	answer := func(w io.Writer, r *http.Request) bool {
+		if r.Method == http.MethodGet {
+			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			return false
+		}
+		switch sends.Add(1) {
+		case 1:
+			writeAnswer(w, r, framingChunked, typeEvents, "x", 0)
+			writeEvents(w, 1, events, 5*time.Millisecond)
+			time.Sleep(700 * time.Millisecond)
+			writeEvents(w, events+1, events+1, 0)
+			time.Sleep(1500 * time.Millisecond)
+			writeEvents(w, events+2, events+2, 0)
+			return true
+		case 2:
+			time.Sleep(500 * time.Millisecond)
+			return refuse(w, r)
+		default:
+			time.Sleep(1800 * time.Millisecond)
+			writeAnswer(w, r, framingChunked, typeEvents, "x", 0)
+			writeEvents(w, resumePoint(r)+1, lateStreamEvents, 5*time.Millisecond)
+			return false
+		}
+	}
+	site := newLoopbackSite(t, newScriptedServer(t, answer), newScriptedServer(t, answer), newScriptedServer(t, answer))
+	sink, err := site.serve(t, "resumable")
+	assert.NilError(t, err)
+	assert.Equal(t, sink.body.String(), eventStream(1, lateStreamEvents, "\n"))
+	assert.Equal(t, sends.Load(), int64(3))
+}
+
 // A server that was only slow was given up for the second one, although it went on before that one answered.
 func TestSlowServerIsGivenUpForSecondOne(t *testing.T) {
 	t.Parallel()
