relay, explain: tell which version a stream is bound to, and by which evidence

A stream that was joined from two software versions could not be told from its log lines: they named the server of the last event only, and not whether its version was known from the record of its first attempt, from another host, or only because one version was in sight. The end line of a request has stream_version, version_evidence, first_server and last_event now, and streams_taken_up counts take-ups by evidence; `wingvale explain` writes it. No decision is changed.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -105,11 +105,14 @@
 	logs := readLogs(t, `{"msg":"stream broke off, and goes on at another backend server","node":"h","request":"r-5","server":"i-1","version":"v1","time":"10:00:00.000"}
 {"msg":"request ended","node":"h","request":"r-5","outcome":"answered","server":"i-2","version":"v1","time":"10:00:01.000"}
 {"msg":"request ended","node":"h","request":"r-6","outcome":"version_unknown","continues":true,"origin":"r-5","server":"","time":"10:00:02.000"}
+{"msg":"request ended","node":"h","request":"r-8","outcome":"answered","continues":true,"origin":"r-5","stream_version":"v1","version_evidence":"record","first_server":"i-3","server":"i-3","version":"v1","time":"10:00:02.500"}
 {"msg":"request ended","node":"h","request":"r-7","outcome":"answered","server":"i-2","version":"v1","time":"10:00:03.000"}`)
 	assert.Check(t, strings.Contains(writeTrace(t, logs, "r-5"), "ran at i-1 (version v1), then i-2 (version v1)\n"))
 	refused := writeTrace(t, logs, "r-6")
 	assert.Check(t, strings.Contains(refused, "its caller took up the stream that attempt \"r-5\" began\n"), refused)
 	assert.Check(t, strings.Contains(refused, "no host knew which software version began it"), refused)
+	takenUp := writeTrace(t, logs, "r-8")
+	assert.Check(t, strings.Contains(takenUp, "that attempt \"r-5\" began at version \"v1\" (evidence: record)\n"), takenUp)
 	assert.Check(t, !strings.Contains(writeTrace(t, logs, "r-7"), "ran at"))
 }
 
--- a/internal/explain/trace.go
+++ b/internal/explain/trace.go
@@ -196,7 +196,11 @@
 	}
 	continues, _ := t.LastLine.Fields["continues"].(bool)
 	if continues {
-		fmt.Fprintf(b, "its caller took up the stream that attempt %q began\n", t.LastLine.textField("origin"))
+		fmt.Fprintf(b, "its caller took up the stream that attempt %q began", t.LastLine.textField("origin"))
+		if evidence := t.LastLine.textField("version_evidence"); evidence != "" {
+			fmt.Fprintf(b, " at version %q (evidence: %s)", t.LastLine.textField("stream_version"), evidence)
+		}
+		b.WriteString("\n")
 	}
 	if continues && len(parts) > 0 || len(parts) > 1 {
 		fmt.Fprintf(b, "ran at %s\n", strings.Join(parts, ", then "))
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -99,11 +99,21 @@
 	j.core.scope.Tagged(map[string]string{"framing": framing.String(), "outcome": outcome}).Counter("answers_by_framing").Inc(1)
 }
 
-// recordOrigin logs which attempt began the stream that the caller takes up.
+// recordOrigin logs which attempt began the stream that the caller takes up, which software version the
+// stream is bound to and by which evidence, and which server sent the first event forwarded here.
 func (j *job) recordOrigin(fields logrus.Fields) {
 	if j.Continues {
 		fields["continues"] = true
 		fields["origin"] = j.Origin
+		fields["last_event"] = j.LastEvent
+	}
+	version, evidence, server := j.streamStart()
+	if bound, ok := version.Get(); ok {
+		fields["stream_version"] = bound
+		fields["version_evidence"] = string(evidence)
+	}
+	if server != "" {
+		fields["first_server"] = server
 	}
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -115,8 +115,11 @@
 
 	mu sync.Mutex
 	// version is the software version that began the stream, which it may only go on at; absent
-	// before its first event.
-	version option.Value[string]
+	// before its first event. versionEvidence is how that is known.
+	version         option.Value[string]
+	versionEvidence versionEvidence
+	// firstServer is the instance that sent the first event that this host forwarded.
+	firstServer string
 	// possibleRunCount counts the sends that may have run, sends all of them.
 	possibleRunCount int
 	sends            int
@@ -176,16 +179,33 @@
 
 // bindVersion makes the stream go on at a software version only, unless one is bound already. It returns
 // the bound version.
-func (j *job) bindVersion(version string) string {
+func (j *job) bindVersion(version string, evidence versionEvidence) string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if !j.version.IsPresent() {
-		j.version = option.Some(version)
+		j.version, j.versionEvidence = option.Some(version), evidence
 	}
 	bound, _ := j.version.Get()
 	return bound
 }
 
+// recordFirstServer records which server sent the first event that this host forwarded.
+func (j *job) recordFirstServer(instance string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.firstServer == "" {
+		j.firstServer = instance
+	}
+}
+
+// streamStart returns the software version that the stream is bound to, how that is known, and the server
+// that sent the first event that this host forwarded.
+func (j *job) streamStart() (version option.Value[string], evidence versionEvidence, server string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.version, j.versionEvidence, j.firstServer
+}
+
 // recordAnswer records that a send yielded an answer.
 func (j *job) recordAnswer(framing exchange.Framing) {
 	j.mu.Lock()
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -21,6 +21,20 @@
 	ReasonVersionGone verdict.Reason = "version_gone"
 )
 
+// versionEvidence is how a host knows which software version began a stream.
+type versionEvidence string
+
+const (
+	// evidenceFirstEvent means that this host forwarded the first event.
+	evidenceFirstEvent versionEvidence = "first_event"
+	// evidenceHandover means that the host that handed the stream over said so.
+	evidenceHandover versionEvidence = "handover"
+	// evidenceRecord means that the record of the attempt that began the stream was found.
+	evidenceRecord versionEvidence = "record"
+	// evidenceOnlyVersion means that all servers of the service have had one version.
+	evidenceOnlyVersion versionEvidence = "only_version"
+)
+
 // versionRetention is how long a service counts as having servers of a software version after the last one
 // was removed. Streams that it began may be taken up meanwhile.
 const versionRetention = 30 * time.Second
@@ -53,17 +67,18 @@
 	if !version.IsPresent() && !j.Continues {
 		return nil
 	}
+	evidence := evidenceHandover
 	if !version.IsPresent() && j.Origin != "" {
-		version = j.core.options.Origins.Find(ctx, j.Origin)
+		version, evidence = j.core.options.Origins.Find(ctx, j.Origin), evidenceRecord
 	}
 	if known, ok := version.Get(); ok {
-		j.bindVersion(known)
+		j.takeUp(known, evidence)
 		return s.checkVersion()
 	}
 	versions := j.core.servers.versions(j.service.Name)
 	switch {
 	case len(versions) == 1:
-		j.bindVersion(versions[0])
+		j.takeUp(versions[0], evidenceOnlyVersion)
 		return nil
 	case len(versions) == 0:
 		return nil
@@ -73,6 +88,12 @@
 	}
 }
 
+// takeUp binds a stream that has begun elsewhere to a software version.
+func (j *job) takeUp(version string, evidence versionEvidence) {
+	j.bindVersion(version, evidence)
+	j.core.scope.Tagged(map[string]string{"evidence": string(evidence)}).Counter("streams_taken_up").Inc(1)
+}
+
 // checkVersion refuses a stream at once if no server of its software version may go on with it.
 func (s *stream) checkVersion() error {
 	j := s.job
@@ -91,7 +112,8 @@
 	if !j.route.Resumable {
 		return
 	}
-	version := j.bindVersion(a.engine.Version)
+	version := j.bindVersion(a.engine.Version, evidenceFirstEvent)
+	j.recordFirstServer(a.engine.Instance)
 	attempt := j.ID
 	if j.Continues {
 		attempt = j.Origin
