relay: go on after the last event that the caller has

Callers got a stream that lacked events in its middle and ended whole. An engine that was silent sent some late events beside a second one, which were held, and its connection ended: they were dropped, but the stream's position moved on to the last of them. If the second engine then refused the stream or ended before its first event, the third was asked to go on after events that nobody had forwarded. A hand-over to another host after that named the same wrong event.

The position is taken over from an attempt only if it holds no events.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -128,7 +128,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.attempts = slices.DeleteFunc(s.attempts, func(other *attempt) bool { return other == a })
-	if s.owner == a {
+	if s.owner == a && len(a.held) == 0 {
+		// The caller hasn't received events that are still held.
 		s.splitter = a.splitter
 	}
 	switch {
--- a/internal/relay/late_test.go
+++ b/internal/relay/late_test.go
@@ -180,3 +180,42 @@
 		}
 	}
 }
+
+// A stream lacked the late events of a server that had crashed, which were left to a second one: that one refused
+// the stream, and the third was asked to go on after them.
+func TestStreamLacksLateEventsThatWereDropped(t *testing.T) {
+	t.Parallel()
+	const events = 3
+	for _, reset := range []bool{false, true} {
+		t.Run(fmt.Sprint("reset ", reset), func(t *testing.T) {
+			t.Parallel()
+			var sends atomic.Int64
+			answer := func(w io.Writer, r *http.Request) bool {
+				if r.Method == http.MethodGet {
+					_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					return false
+				}
+				switch sends.Add(1) {
+				case 1:
+					writeAnswer(w, r, framingChunked, typeEvents, "x", 0)
+					writeEvents(w, 1, events, 5*time.Millisecond)
+					time.Sleep(silence)
+					writeEvents(w, events+1, events+2, 0)
+					return reset
+				case 2:
+					time.Sleep(1500 * time.Millisecond)
+					return refuse(w, r)
+				default:
+					writeAnswer(w, r, framingChunked, typeEvents, "x", 0)
+					writeEvents(w, resumePoint(r)+1, lateStreamEvents, 5*time.Millisecond)
+					return false
+				}
+			}
+			site := newLoopbackSite(t, newScriptedServer(t, answer), newScriptedServer(t, answer), newScriptedServer(t, answer))
+			sink, err := site.serve(t, "resumable")
+			assert.NilError(t, err)
+			assert.Equal(t, sink.body.String(), eventStream(1, lateStreamEvents, "\n"))
+			assert.Equal(t, sends.Load(), int64(3))
+		})
+	}
+}
