versionlog, gateway: learn the versions before a start at the start

Hosts asked which versions had served before their start only when a stream needed it. A host asks once the hosts are settled, and up to three times more if none of those it knows can tell. In a fleet of more than twelve it asks four, drawn from those that have run longest and those that watch the publisher; only the latter read its history.

--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -6,7 +6,9 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -20,16 +22,24 @@
 )
 
 const (
-	// versionPeers is how many of the hosts that have run longest, by their clocks, are asked for the software
-	// versions that servers have had, and of those that watch the publisher. versionPeerTimeout limits each
-	// call.
+	// versionPeers is how many of the hosts that have run longest, by their clocks, may be asked for the
+	// software versions that servers have had. In a large fleet versionSample of them and of those that watch
+	// the publisher are asked. versionPeerTimeout limits each call.
 	versionPeers       = 12
+	versionSample      = 4
 	versionPeerTimeout = 150 * time.Millisecond
+	// versionLearnTries and versionLearnInterval are how often a host that starts asks, and after which pause
+	// again.
+	versionLearnTries    = 4
+	versionLearnInterval = time.Second
 	// uninformedLimit is how long a host may have neither the publisher nor a peer before its record of
 	// software versions has a gap.
 	uninformedLimit = 3 * time.Second
 )
 
+// errNotWatching means that other hosts read the publisher for this one, and have told what they know.
+var errNotWatching = errors.New("gateway: this host does not watch the publisher")
+
 // newVersions returns the record of the software versions of servers.
 func (n *Node) newVersions() *versionlog.Log {
 	return versionlog.New(versionlog.Options{
@@ -52,16 +62,21 @@
 	}
 }
 
-// learnVersions learns which software versions servers had before the host knew them, if it watches the
-// publisher. Others ask it when they need to know: the publisher may have discarded its history by then.
+// learnVersions learns which software versions servers had before the host knew them. It doesn't wait until a
+// stream needs that: when hosts are restarted in turn, those that know may be gone by then. It tries again
+// since the host may not know those hosts yet.
 func (n *Node) learnVersions() {
 	select {
 	case <-n.settled:
 	case <-n.ctx.Done():
 		return
 	}
-	if n.isWatcher(publisher.SpaceHosts) {
+	for range versionLearnTries {
 		n.versions.Learn(n.ctx, versionlog.Retention)
+		if n.versions.Report().Observed >= versionlog.Retention {
+			return
+		}
+		sleep(n.ctx, versionLearnInterval)
 	}
 }
 
@@ -96,7 +111,7 @@
 	return reports
 }
 
-// versionPeers returns the hosts that have run longest, and some of those that watch the publisher.
+// versionPeers returns some of the hosts that have run longest and of those that watch the publisher.
 func (n *Node) versionPeers() []netip.AddrPort {
 	members := slices.DeleteFunc(n.view.Members(), func(m fleet.Member) bool {
 		return m.State == fleet.StateGone || m.State == fleet.StateSuspect
@@ -104,11 +119,15 @@
 	slices.SortFunc(members, func(a, b fleet.Member) int { return cmp.Compare(a.Beat, b.Beat) })
 	watching := peer.ElectedEverywhere(n.view, string(publisher.SpaceHosts), 1)
 	var peers []netip.AddrPort
-	for _, m := range slices.Concat(members[:min(len(members), versionPeers)], watching[:min(len(watching), versionPeers)]) {
+	for _, m := range slices.Concat(members[:min(len(members), versionPeers)], watching) {
 		if m.Peer != n.settings.Peer && !slices.Contains(peers, m.Peer) {
 			peers = append(peers, m.Peer)
 		}
 	}
+	if n.isLarge() {
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		peers = peers[:min(len(peers), versionSample)]
+	}
 	return peers
 }
 
@@ -116,6 +135,9 @@
 // known which versions there were: how far back a publisher's history goes can't be told from it, since it
 // may have been discarded early.
 func (n *Node) publishedVersions(ctx context.Context) (versionlog.Report, error) {
+	if !n.isWatcher(publisher.SpaceHosts) {
+		return versionlog.Report{}, errNotWatching
+	}
 	era := n.listed.Summary().Era
 	values, err := n.options.Source.Poll(ctx, publisher.SpaceHosts, published.Position{Era: era})
 	if err != nil {
