relay: give hosts that start one retry, and their part of the reserve over time

After a loss of all hosts servers got more repeats than the operators allow all hosts together. Each host that started had a full bucket at once, whatever its previous run had spent in the same window, and took itself for the only host until it had met the others, so that its part of the reserve was all of it.

A host's bucket now starts with one retry, once the number of hosts is known (when the owners of pools are; not for a host with seeds that has met nobody), and fills over time and with requests. Before, only the share of its own requests counts. After one window without retries a host has its part of the reserve as before.

--- a/internal/gateway/components.go
+++ b/internal/gateway/components.go
@@ -67,7 +67,7 @@
 		OwnersKnown:      n.settled,
 		SinceBoot:        o.SinceBoot,
 		SuspectsReceived: n.gossip.CrashesKnown(),
-		Hosts:            n.serving,
+		Hosts:            n.knownServing,
 		Log:              n.log,
 		Scope:            o.Scope,
 		Random:           childRandom(n.random),
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -141,6 +141,22 @@
 	return n.hostCache.current().serving
 }
 
+// knownServing is like serving, but returns 0 until this host knows the others. One that has met none
+// since it started may be one of many.
+func (n *Node) knownServing() int {
+	serving := n.serving()
+	if !n.isSettled() || serving == 1 && len(n.view.Members()) == 0 && !n.isAlone() {
+		return 0
+	}
+	return serving
+}
+
+// isAlone reports whether there are no other hosts according to the settings.
+func (n *Node) isAlone() bool {
+	seeds := n.settings.Seeds
+	return len(seeds) == 0 || len(seeds) == 1 && seeds[0] == n.settings.Peer
+}
+
 func (n *Node) self() owner.Peer {
 	return owner.Peer{Address: n.settings.Callers, Control: n.settings.Peer, Capacity: capacityOf(n.settings)}
 }
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -83,12 +83,11 @@
 	var eligible []owner.Peer
 	since := time.Now()
 	for ctx.Err() == nil && time.Since(n.start) < settleTimeout {
-		alone := len(n.settings.Seeds) == 0 || len(n.settings.Seeds) == 1 && n.settings.Seeds[0] == n.settings.Peer
 		if now := n.live().Eligible(); !slices.Equal(now, eligible) {
 			eligible, since = now, time.Now()
 		}
 		known := len(n.view.Members()) > 0 && time.Since(since) >= settledAfter
-		if alone || known {
+		if n.isAlone() || known {
 			break
 		}
 		sleep(ctx, settleInterval)
--- a/internal/relay/core.go
+++ b/internal/relay/core.go
@@ -56,7 +56,7 @@
 	SuspectsReceived <-chan struct{}
 	// SinceBoot returns the time of a clock that keeps running while the host is suspended.
 	SinceBoot func() time.Duration
-	// Hosts returns the number of hosts that serve, including this one.
+	// Hosts returns the number of hosts that serve, including this one; 0 if it isn't known.
 	Hosts  func() int
 	Log    logrus.FieldLogger
 	Scope  tally.Scope
--- a/internal/relay/retries.go
+++ b/internal/relay/retries.go
@@ -18,9 +18,13 @@
 )
 
 // retryBudget keeps the retries of all hosts together within the limit without
-// coordination: each host spends only its part.
+// coordination: each host spends only its part. A host that has just started doesn't know
+// what its previous run has spent, nor at first how many hosts there are: it starts with
+// one retry once it does, and earns the rest of its part of the reserve over time.
 type retryBudget struct {
-	hosts func() int
+	// hosts returns the number of hosts; 0 if it isn't known.
+	hosts     func() int
+	startedAt time.Time
 
 	mu      sync.Mutex
 	share   float64
@@ -34,10 +38,12 @@
 	// tokens is limited to what may be spent at once.
 	tokens     float64
 	refilledAt time.Time
+	// hasInitial reports whether the retry that a host starts with was added.
+	hasInitial bool
 }
 
 func newRetryBudget(share, reserve float64, window time.Duration, hosts func() int) *retryBudget {
-	return &retryBudget{share: share, reserve: reserve, window: window, hosts: hosts, buckets: make(map[string]*bucket)}
+	return &retryBudget{share: share, reserve: reserve, window: window, hosts: hosts, startedAt: time.Now(), buckets: make(map[string]*bucket)}
 }
 
 // set changes the limits.
@@ -47,9 +53,13 @@
 	r.share, r.reserve, r.window = share, reserve, window
 }
 
-// hostReserve returns this host's part of the reserve.
-func (r *retryBudget) hostReserve() float64 {
-	return r.reserve * hostShare / float64(max(r.hosts(), 1))
+// hostReserve returns this host's part of the reserve, and whether it is known.
+func (r *retryBudget) hostReserve() (reserve float64, known bool) {
+	hosts := r.hosts()
+	if hosts == 0 {
+		return 0, false
+	}
+	return r.reserve * hostShare / float64(hosts), true
 }
 
 // burst returns how much may be spent at once of a host's part of the reserve.
@@ -59,13 +69,17 @@
 // tokens at its start and those added during it can be spent: both halves of the reserve.
 func (r *retryBudget) refilledBucket(service string) *bucket {
 	now := time.Now()
-	hostReserve := r.hostReserve()
+	hostReserve, known := r.hostReserve()
 	capacity := burst(hostReserve)
 	b := r.buckets[service]
 	if b == nil {
-		b = &bucket{tokens: capacity, refilledAt: now}
+		b = &bucket{refilledAt: r.startedAt}
 		r.buckets[service] = b
 	}
+	if known && !b.hasInitial {
+		b.tokens++
+		b.hasInitial = true
+	}
 	rate := hostReserve * (1 - burstShare) / r.window.Seconds()
 	b.tokens = min(b.tokens+now.Sub(b.refilledAt).Seconds()*rate, capacity)
 	b.refilledAt = now
@@ -98,7 +112,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.refilledBucket(service)
-	if b.tokens < min(2, burst(r.hostReserve())) {
+	hostReserve, _ := r.hostReserve()
+	if b.tokens < min(2, burst(hostReserve)) {
 		return false
 	}
 	b.tokens--
