origin: send copies on as hosts join, leave and start anew

Cause: the version of a stream was sent to three hosts once. A keeper that started anew was empty and nobody sent it what it lacked, a host that stopped handed nothing on, and the event that a caller got could leave before the record did.

- Hosts hold the records of 30 s by groups with the same keepers.
When the hosts or a run of one change, past and present keepers send the group to those that lack it; others only if fewer than two of those that have it are left.
A host that leaves sends on what it holds and receives, and stays until that is done.
- Keepers are in different availability zones, and not leaving while others are there.
- A host that doesn't take records is avoided for 2 s, and those that rank next get them.
- Record returns when one keeper has the record, 20 ms later at most.
- Look tells whether a version is known (memory, keeper), is denied by hosts that would know it, or may be known by hosts that weren't reached or have started lately.
It asks the keepers of 0.5 and 1.5 s ago too.

--- a/internal/gateway/components.go
+++ b/internal/gateway/components.go
@@ -11,8 +11,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/wingvale/wingvale/internal/exchange"
-	"github.com/wingvale/wingvale/internal/option"
-	"github.com/wingvale/wingvale/internal/origin"
 	"github.com/wingvale/wingvale/internal/owner"
 	"github.com/wingvale/wingvale/internal/peer"
 	"github.com/wingvale/wingvale/internal/peer/peerpb"
@@ -93,23 +91,6 @@
 	})
 }
 
-// newOrigins returns the group that knows which software versions began streams.
-func (n *Node) newOrigins() *origin.Group {
-	return origin.New(origin.Options{
-		Context: n.ctx,
-		Self:    n.settings.Callers,
-		Owners:  owner.NewFinder(n.settings.Callers, n.live),
-		Store: func(ctx context.Context, peer netip.AddrPort, records []origin.Record) error {
-			return n.gossip.SendOrigins(ctx, peer, records)
-		},
-		Find: func(ctx context.Context, peer netip.AddrPort, s origin.Stream) (option.Value[string], error) {
-			return n.gossip.FindOrigin(ctx, peer, s)
-		},
-		Log:   n.log,
-		Scope: n.options.Scope,
-	})
-}
-
 func newPeerClient(dial exchange.Dial, scope tally.Scope) *http.Client {
 	return &http.Client{Transport: traffic{scope: scope}.client(peerhttp.New(peerhttp.Dial(dial), scope))}
 }
--- a/internal/gateway/hosts.go
+++ b/internal/gateway/hosts.go
@@ -10,6 +10,7 @@
 
 	"github.com/wingvale/wingvale/internal/fleet"
 	"github.com/wingvale/wingvale/internal/handover"
+	"github.com/wingvale/wingvale/internal/origin"
 	"github.com/wingvale/wingvale/internal/owner"
 	"github.com/wingvale/wingvale/internal/peer"
 )
@@ -36,6 +37,8 @@
 	// owners are the live hosts, including this one unless it is leaving. Isolated ones are left out
 	// unless all are isolated.
 	owners *owner.Hosts
+	// keepers are the hosts that may keep the versions of streams.
+	keepers *origin.Hosts
 	// entries are the addresses for callers of the other live hosts, without isolated ones unless
 	// all are isolated.
 	entries []callerEntry
@@ -110,6 +113,7 @@
 		}
 	}
 	known.owners = owner.NewHosts(n.orLastLeaving(peers))
+	known.keepers = n.newKeepers(members, leaving)
 	return known
 }
 
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -249,6 +249,7 @@
 	tasks.Go(func() { n.maintain(ctx) })
 	tasks.Go(func() { n.links.run(ctx) })
 	tasks.Go(func() { n.bringUp(ctx) })
+	tasks.Go(func() { n.origins.Run(ctx) })
 	tasks.Go(func() { n.settle(ctx) })
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	err := server.Serve(l)
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -59,7 +59,7 @@
 		sleep(ctx, readyCheckInterval)
 	}
 	for ctx.Err() == nil {
-		sleep(ctx, seedInterval)
+		sleep(ctx, n.seedPause())
 		n.contactSeeds(ctx)
 	}
 	n.seedContacts.Wait()
@@ -172,6 +172,7 @@
 	n.log.Info("leaving")
 	n.core.StartDrain(end)
 	n.view.Leave()
+	n.origins.Sync()
 	n.gossip.Announce(ctx, announceFanout)
 }
 
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/netip"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -20,19 +22,24 @@
 type Origins interface {
 	// Keep stores versions that another node has sent.
 	Keep(records []origin.Record)
-	// Known returns the version of a stream, if this node knows it.
-	Known(s origin.Stream) option.Value[string]
+	// Answer returns what this node knows of a stream.
+	Answer(s origin.Stream) origin.Answer
 }
 
 // maxVersionBytes limits the name of a software version between nodes.
 const maxVersionBytes = 256
 
+// maxUpMilliseconds limits the time for which a node says that it has been up.
+const maxUpMilliseconds = uint64(24 * time.Hour / time.Millisecond)
+
 // SendOrigins sends a node the versions that began streams.
 func (g *Gossip) SendOrigins(ctx context.Context, address netip.AddrPort, records []origin.Record) error {
+	now := time.Now()
 	request := &peerpb.KeepRequest{Streams: make([]*peerpb.StreamVersion, 0, len(records))}
 	for _, r := range records {
 		if len(r.Version) <= maxVersionBytes {
-			request.Streams = append(request.Streams, &peerpb.StreamVersion{Stream: uint64(r.Stream), Version: r.Version})
+			age := min(max(now.Sub(r.RecordedAt).Milliseconds(), 0), math.MaxUint32)
+			request.Streams = append(request.Streams, &peerpb.StreamVersion{Stream: uint64(r.Stream), Version: r.Version, AgeMs: uint32(age)})
 		}
 	}
 	if _, err := g.client(address).Keep(ctx, request); err != nil {
@@ -42,15 +49,16 @@
 }
 
 // FindOrigin asks a node for the version that began a stream.
-func (g *Gossip) FindOrigin(ctx context.Context, address netip.AddrPort, s origin.Stream) (option.Value[string], error) {
+func (g *Gossip) FindOrigin(ctx context.Context, address netip.AddrPort, s origin.Stream) (origin.Answer, error) {
 	reply, err := g.client(address).Origin(ctx, &peerpb.OriginRequest{Stream: uint64(s)})
 	if err != nil {
-		return option.Value[string]{}, fmt.Errorf("peer: ask for the version of a stream: %w", err)
+		return origin.Answer{}, fmt.Errorf("peer: ask for the version of a stream: %w", err)
 	}
-	if !reply.GetKnown() {
-		return option.Value[string]{}, nil
+	answer := origin.Answer{Up: time.Duration(min(reply.GetUpMs(), maxUpMilliseconds)) * time.Millisecond}
+	if reply.GetKnown() {
+		answer.Version = option.Some(reply.GetVersion())
 	}
-	return option.Some(reply.GetVersion()), nil
+	return answer, nil
 }
 
 // Keep stores versions that began streams.
@@ -62,12 +70,16 @@
 	if len(in.GetStreams()) > origin.MaxRecords {
 		return nil, twirp.InvalidArgumentError("streams", "too many")
 	}
+	now := time.Now()
 	records := make([]origin.Record, 0, len(in.GetStreams()))
 	for _, m := range in.GetStreams() {
 		if len(m.GetVersion()) > maxVersionBytes {
 			return nil, twirp.InvalidArgumentError("version", "too long")
 		}
-		records = append(records, origin.Record{Stream: origin.Stream(m.GetStream()), Version: m.GetVersion()})
+		records = append(records, origin.Record{
+			Stream: origin.Stream(m.GetStream()), Version: m.GetVersion(),
+			RecordedAt: now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+		})
 	}
 	origins.Keep(records)
 	return &peerpb.KeepReply{}, nil
@@ -79,6 +91,7 @@
 	if origins == nil {
 		return &peerpb.OriginReply{}, nil
 	}
-	version, known := origins.Known(origin.Stream(in.GetStream())).Get()
-	return &peerpb.OriginReply{Known: known, Version: version}, nil
+	answer := origins.Answer(origin.Stream(in.GetStream()))
+	version, known := answer.Version.Get()
+	return &peerpb.OriginReply{Known: known, Version: version, UpMs: uint64(max(answer.Up.Milliseconds(), 0))}, nil
 }
