--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -39,6 +39,9 @@
 	Seeds []netip.AddrPort
 	// Publisher is the address from which the configuration and the backend servers are read.
 	Publisher netip.AddrPort
+	// PublisherHistory is for how long the publisher keeps the history of changes, unless it has to discard it
+	// early; 0 means unknown.
+	PublisherHistory time.Duration
 	// ReadyAfter is how long a starting node waits for both the publisher and a peer before
 	// one of them is enough.
 	ReadyAfter time.Duration
@@ -120,6 +123,7 @@
 		{section: "node", name: "memory-mb", set: amount(&g.MemoryMB)},
 		{section: "node", name: "seeds", set: addresses(&g.Seeds)},
 		{section: "publisher", name: "address", required: true, set: address(&g.Publisher)},
+		{section: "publisher", name: "history", set: duration(&g.PublisherHistory, 0, maxDuration)},
 		{section: "publisher", name: "ready-after", set: duration(&g.ReadyAfter, 0, maxDuration)},
 		{section: "callers", name: "hold", set: duration(&g.AnswerTTL, time.Second, maxDuration)},
 		{section: "stop", name: "grace", set: duration(&g.StopTimeout, time.Second, maxDuration)},
--- a/internal/versionlog/log.go
+++ b/internal/versionlog/log.go
@@ -16,6 +16,8 @@
 const (
 	// Retention is how long a version is kept after its last server was removed.
 	Retention = 10 * time.Minute
+	// SeenWindow is how long a version counts after its last server was removed, at least.
+	SeenWindow = 30 * time.Second
 	// learnTimeout limits one attempt to learn from other hosts and the publisher, and learnWait how long a
 	// request waits for it.
 	learnTimeout = 3 * time.Second
@@ -69,6 +71,8 @@
 	// since is the time from which on the record has all versions; zero while the host does not know all
 	// servers.
 	since time.Time
+	// gaps counts how often changes may have been missed.
+	gaps int
 	// learning is closed at the end of the attempt that runs; nil if none does. learnedAt is when the last
 	// one began.
 	learning  chan struct{}
@@ -118,6 +122,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.since = time.Time{}
+	l.gaps++
 }
 
 // Report returns what the host knows.
@@ -146,8 +151,8 @@
 	return min(now.Sub(l.since), Retention)
 }
 
-// During returns the versions that the servers of a service have had within window, in ascending order, and
-// whether these are known to be all. It asks other hosts and the publisher if this host has not run long
+// During returns the versions that the servers of a service have had within window, or SeenWindow if that is
+// longer, in ascending order, and whether all of those within window are known. It asks other hosts and the publisher if this host has not run long
 // enough to tell.
 func (l *Log) During(ctx context.Context, service string, window time.Duration) (versions []string, complete bool) {
 	versions, complete = l.known(service, window)
@@ -160,6 +165,7 @@
 
 func (l *Log) known(service string, window time.Duration) (versions []string, complete bool) {
 	now := time.Now()
+	seen := max(window, SeenWindow)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for k := range l.listed {
@@ -172,12 +178,12 @@
 			delete(l.removed, k)
 			continue
 		}
-		if k.service == service && now.Sub(at) < window {
+		if k.service == service && now.Sub(at) < seen {
 			versions = append(versions, k.version)
 		}
 	}
 	slices.Sort(versions)
-	return versions, l.observed(now) >= window
+	return versions, l.observed(now) >= min(window, Retention)
 }
 
 // Learn waits for an attempt to learn which versions there were within window, before this host started. It
@@ -216,10 +222,13 @@
 	}()
 	ctx, cancel := context.WithTimeout(l.options.Context, learnTimeout)
 	defer cancel()
+	l.mu.Lock()
+	gaps := l.gaps
+	l.mu.Unlock()
 	source, longest := "peers", time.Duration(0)
 	for _, r := range l.options.Peers(ctx) {
 		longest = max(longest, r.Observed)
-		l.merge(r)
+		l.merge(r, gaps)
 	}
 	if longest < window {
 		r, err := l.options.History(ctx)
@@ -230,15 +239,16 @@
 			return
 		}
 		source, longest = "publisher", r.Observed
-		l.merge(r)
+		l.merge(r, gaps)
 	}
 	l.options.Scope.Tagged(map[string]string{"source": source}).Counter("version_history_learned").Inc(1)
 	l.options.Log.WithFields(logrus.Fields{"source": source, "known_ms": longest.Milliseconds()}).
 		Info("learned which software versions servers had before this host's start")
 }
 
-// merge adds a report to the record. What it lacks at its end, this host has seen itself.
-func (l *Log) merge(r Report) {
+// merge adds a report to the record. What it lacks at its end, this host has seen itself, unless there was a
+// gap since the report was asked for.
+func (l *Log) merge(r Report, gaps int) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -248,7 +258,7 @@
 			l.removed[k] = at
 		}
 	}
-	if since := now.Add(-r.Observed); since.Before(l.since) {
+	if since := now.Add(-r.Observed); l.gaps == gaps && since.Before(l.since) {
 		l.since = since
 	}
 }
