relay: take streams up at the service that began them

With different versions streams were refused though their service serves. Records and hand-overs named a version only, and versions of different services have nothing to do with each other.

Records and hand-overs name the service with the version. A stream goes on there, or is refused if the route names it no more; without a record a stream of a split route is refused. A stream that goes on since only one version has served is not recorded: a record that was not found would be replaced by it.

--- a/internal/relay/catalog.go
+++ b/internal/relay/catalog.go
@@ -247,6 +247,11 @@
 	return c.services
 }
 
+// hasTarget reports whether a service receives requests of the route.
+func (r *Route) hasTarget(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
+}
+
 // pickTarget picks one of the route's services by weight; point is in [0, 1).
 func (r *Route) pickTarget(point float64) string {
 	total := 0
--- a/internal/relay/export_test.go
+++ b/internal/relay/export_test.go
@@ -289,3 +289,8 @@
 	s.mu.Unlock()
 	return j.lastServer().Instance
 }
+
+// StreamOrigin returns the text form of what began a stream.
+func StreamOrigin(service, version string) string {
+	return streamOrigin{service: service, version: version}.String()
+}
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -151,7 +151,7 @@
 	for {
 		request := *j.Request
 		request.Runs, request.Counted, request.LastEvent = j.possibleRuns(), j.counted, j.lastEvent
-		request.Version = j.boundVersion()
+		request.Version = j.originToHandOver()
 		handoff := Handoff{Request: &request, Except: tried}
 		if j.mayRepeat() {
 			handoff.TakeRetry = j.takeRetry
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -54,8 +54,8 @@
 	// LastEvent is the event of a stream after which another host handed it over; empty means
 	// from the start.
 	LastEvent string
-	// Version is the software version that began a stream which another host handed over; absent if
-	// it has not begun.
+	// Version names the service and the software version that began a stream which another host handed
+	// over; absent if it has not begun.
 	Version option.Value[string]
 	// Continues means that the caller takes up a stream of which it has the first events. Origin is
 	// the id of the attempt that brought the first one, empty if the caller does not say.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -39,14 +39,14 @@
 	if err := j.awaitOwners(ctx); err != nil {
 		return err
 	}
-	if err := j.checkServers(); err != nil {
-		return err
-	}
 	s := newStream(j, sink)
 	p.zone = s.homeZone
 	if err := s.bindVersion(ctx); err != nil {
 		return err
 	}
+	if err := j.checkServers(); err != nil {
+		return err
+	}
 	s.splitter.resumeAfter(j.LastEvent)
 	defer s.recordEvents()
 	for {
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -7,6 +7,8 @@
 	"context"
 	"net/netip"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/wingvale/wingvale/internal/option"
@@ -35,20 +37,16 @@
 	evidenceOnlyVersion versionEvidence = "only_version"
 )
 
-const (
-	// minTakeUpWindow is the shortest time for which a stream may be taken up after it began.
-	minTakeUpWindow = 30 * time.Second
-	// takeUpSlack is added to the time limit of a route with a longer one: a server that leaves the list
-	// gets requests until all hosts know.
-	takeUpSlack = 5 * time.Second
-)
+// takeUpSlack is added to the time limit of a route to get the time within which a stream that is taken up has
+// begun: a server that leaves the list gets requests until all hosts know.
+const takeUpSlack = 5 * time.Second
 
-// Origins records which software versions began streams, by the attempts that brought their first
-// events.
+// Origins records which services and software versions began streams, by the attempts that brought their
+// first events.
 type Origins interface {
-	// Record records the version that began the stream of an attempt.
-	Record(attempt, version string)
-	// Find returns the version that began the stream of an attempt, if a host that may know it is
+	// Record records what began the stream of an attempt.
+	Record(attempt, origin string)
+	// Find returns what began the stream of an attempt, if a host that may know it is
 	// reached.
 	Find(ctx context.Context, attempt string) option.Value[string]
 }
@@ -72,6 +70,27 @@
 
 func (noVersions) During(context.Context, string, time.Duration) ([]string, bool) { return nil, false }
 
+// streamOrigin is what began a stream. A route may have several services, whose versions have nothing to do
+// with each other.
+type streamOrigin struct {
+	service, version string
+}
+
+// String returns the text form: the length of the service's name, a colon, the name, and the version.
+func (o streamOrigin) String() string {
+	return strconv.Itoa(len(o.service)) + ":" + o.service + o.version
+}
+
+// parseOrigin returns the origin with a text form.
+func parseOrigin(text string) (streamOrigin, bool) {
+	digits, rest, ok := strings.Cut(text, ":")
+	length, err := strconv.Atoi(digits)
+	if !ok || err != nil || length < 0 || length > len(rest) {
+		return streamOrigin{}, false
+	}
+	return streamOrigin{service: rest[:length], version: rest[length:]}, true
+}
+
 // bindVersion finds out which software version may go on with a stream that the caller or another host has
 // the first events of.
 func (s *stream) bindVersion(ctx context.Context) error {
@@ -79,20 +98,21 @@
 	if !j.route.Resumable || j.boundVersion().IsPresent() {
 		return nil
 	}
-	version := j.Version
-	if !version.IsPresent() && !j.Continues {
+	text, evidence := j.Version, evidenceHandover
+	if !text.IsPresent() && !j.Continues {
 		return nil
 	}
-	evidence := evidenceHandover
-	if !version.IsPresent() && j.Origin != "" {
-		version, evidence = j.core.options.Origins.Find(ctx, j.Origin), evidenceRecord
+	if !text.IsPresent() && j.Origin != "" {
+		text, evidence = j.core.options.Origins.Find(ctx, j.Origin), evidenceRecord
 	}
-	if known, ok := version.Get(); ok {
-		j.takeUp(known, evidence)
-		return s.checkVersion()
+	if known, ok := text.Get(); ok {
+		return s.goOnFrom(known, evidence)
+	}
+	if len(j.route.Targets) > 1 {
+		j.core.scope.Counter("streams_of_unknown_version").Inc(1)
+		return j.refuse(ReasonVersionUnknown, minRetryAfter, "nobody knows which service and version began the stream of %q", j.Origin)
 	}
-	window := max(minTakeUpWindow, j.route.Timeout+takeUpSlack)
-	versions, complete := j.core.options.Versions.During(ctx, j.service.Name, window)
+	versions, complete := j.core.options.Versions.During(ctx, j.service.Name, j.route.Timeout+takeUpSlack)
 	if complete && len(versions) == 1 {
 		j.takeUp(versions[0], evidenceOnlyVersion)
 		return s.checkVersion()
@@ -101,6 +121,24 @@
 	return j.refuse(ReasonVersionUnknown, minRetryAfter, "nobody knows which version began the stream of %q, seen %q, all known: %t", j.Origin, versions, complete)
 }
 
+// goOnFrom makes a stream go on at the service and version that began it.
+func (s *stream) goOnFrom(text string, evidence versionEvidence) error {
+	j := s.job
+	origin, ok := parseOrigin(text)
+	if !ok {
+		return j.refuse(ReasonVersionUnknown, minRetryAfter, "the record %q of the stream can't be read", text)
+	}
+	if origin.service != j.service.Name {
+		service := j.catalog.Service(origin.service)
+		if service == nil || !j.route.hasTarget(origin.service) {
+			return j.refuse(ReasonVersionGone, fullRetryAfter, "the route does not name the service %s any more, which began the stream", origin.service)
+		}
+		j.service = service
+	}
+	j.takeUp(origin.version, evidence)
+	return s.checkVersion()
+}
+
 // takeUp binds a stream that has begun elsewhere to a software version.
 func (j *job) takeUp(version string, evidence versionEvidence) {
 	j.bindVersion(version, evidence)
@@ -125,15 +163,30 @@
 	if !j.route.Resumable {
 		return
 	}
-	version := j.bindVersion(a.engine.Version, evidenceFirstEvent)
+	j.bindVersion(a.engine.Version, evidenceFirstEvent)
 	j.recordFirstServer(a.engine.Instance)
+	version, evidence, _ := j.streamStart()
+	if evidence == evidenceOnlyVersion {
+		// A record may say more, and must not be replaced.
+		return
+	}
 	attempt := j.ID
 	if j.Continues {
 		attempt = j.Origin
 	}
 	if attempt != "" {
-		j.core.options.Origins.Record(attempt, version)
+		bound, _ := version.Get()
+		j.core.options.Origins.Record(attempt, streamOrigin{service: j.service.Name, version: bound}.String())
+	}
+}
+
+// originToHandOver returns what began the stream, for another host; absent before its first event.
+func (j *job) originToHandOver() option.Value[string] {
+	version, bound := j.boundVersion().Get()
+	if !bound {
+		return option.Value[string]{}
 	}
+	return option.Some(streamOrigin{service: j.service.Name, version: version}.String())
 }
 
 // otherVersions returns the servers that the stream must not go on at.
