--- a/internal/origin/group_test.go
+++ b/internal/origin/group_test.go
@@ -17,6 +17,7 @@
 
 // The hosts that began streams are lost, alone or with all others of their zone, and other hosts are asked.
 func TestVersionsAreLostWithHosts(t *testing.T) {
+	t.Parallel()
 	const count = 300
 	for _, size := range []int{3, 9, 60} {
 		for name, lost := range map[string]func(i int) bool{
@@ -48,6 +49,7 @@
 
 // A host that starts ranks above some of those that keep versions, and knows none.
 func TestVersionsAreHiddenByStartedHosts(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		h := newHosts(t.Context(), 8)
 		var s streams
@@ -64,6 +66,7 @@
 }
 
 func TestUnknownStreamHasNoVersion(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		h := newHosts(t.Context(), 8)
 		began := time.Now()
@@ -77,6 +80,7 @@
 
 // Hosts were killed and started anew in turn until all copies of a version were gone.
 func TestVersionsAreLostAsHostsRestartInTurn(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{3, 8, 30} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -104,6 +108,7 @@
 
 // All hosts stopped in an orderly way, some at a time, before the first of them had started again.
 func TestVersionsAreLostAsAllHostsStopInGroups(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{8, 81} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -146,6 +151,7 @@
 
 // The hosts of a zone were lost, and those of the next one a few seconds later.
 func TestVersionsAreLostWithOneZoneAfterAnother(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{9, 60} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -170,6 +176,7 @@
 // Nine in ten hosts were lost at once. What the others know must reach their keepers, and that the rest is
 // not known must not count as proof that it never was.
 func TestLossOfMostHostsCountsAsProof(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		const size = 60
 		h := newHosts(t.Context(), size)
@@ -203,6 +210,7 @@
 
 // A host was lost right after it had recorded a version, before other hosts were sent it.
 func TestVersionIsLostWithHostRightAfterRecord(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{3, 8, 60} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -222,6 +230,7 @@
 
 // Streams whose keepers are all up, and that nobody knows, never were.
 func TestUnknownStreamIsProved(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		h := newHosts(t.Context(), 8)
 		time.Sleep(time.Minute)
@@ -239,6 +248,7 @@
 
 // While no host changes, hosts exchange nothing but the versions of new streams.
 func TestCopiesAreSentAgainWithoutChange(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		h := newHosts(t.Context(), 30)
 		var s streams
--- a/internal/origin/repair.go
+++ b/internal/origin/repair.go
@@ -21,6 +21,8 @@
 type copied struct {
 	// hosts are those of the last look.
 	hosts *Hosts
+	// handedOver reports whether this host has begun to leave and has sent on all that it held.
+	handedOver bool
 	// hadPeers reports whether there were other hosts at any look.
 	hadPeers bool
 	// at has the hosts that are taken to have all versions of a group that this host has.
@@ -71,6 +73,7 @@
 			g.syncGroup(of, hosts, now, &sent)
 		}
 	}
+	g.copied.handedOver = hosts.selfLeaves
 	if sent.records > 0 {
 		message := "sending the versions of streams to hosts that lack them"
 		if hosts.selfLeaves {
@@ -87,7 +90,8 @@
 }
 
 // syncGroup sends the recent versions of a group to keepers that lack them. Among those that have them the
-// keepers do, past ones too, and others only if too few keepers are left. The mutex must be held.
+// keepers do, past ones too, and those that begin to leave; others only if too few keepers are left. The mutex
+// must be held.
 func (g *Group) syncGroup(of group, hosts *Hosts, now time.Time, sent *sendCount) {
 	keepers := g.keepers(of, now)
 	keeps := hosts.keeps(of)
@@ -100,7 +104,8 @@
 		}
 		lacking = append(lacking, k)
 	}
-	obliged := keeps || g.copied.kept[of] || hosts.selfLeaves || have < min(enoughCopies, len(keepers))
+	handsOver := hosts.selfLeaves && !g.copied.handedOver
+	obliged := keeps || g.copied.kept[of] || handsOver || have < min(enoughCopies, len(keepers))
 	g.copied.kept[of] = keeps
 	if !obliged {
 		g.copied.at[of] = slices.DeleteFunc(g.copied.at[of], func(id hostID) bool {
