placing: count the wait for a slot on engines of one speed

The owner tracks the streams of each engine, but used that only once the paces of the engines differed: with equal engines it counted prefills alone.

Change: the wait for slots and memory counts on all engines whose slots are known. It is 0 while an engine has a free slot, so that prompts still stay at their homes under low load, for which the rest of the model is limited to uneven engines.

TestPromptsQueueForSlotsWhileOtherEnginesHaveFreeOnes fails before the change.

--- a/internal/placing/load.go
+++ b/internal/placing/load.go
@@ -35,9 +35,9 @@
 type speeds struct {
 	medianGap time.Duration
 	updatedAt time.Time
-	// uneven says that the engines differ in speed. Until then placement does not use the model:
-	// with equal engines at low load it spreads prompts over more engines than their homes, and
-	// each host then needs more retries when its connections fall silent.
+	// uneven says that the engines differ in speed. Until then placement uses only the waits for slots
+	// and memory of the model: with equal engines at low load the rest spreads prompts over more engines
+	// than their homes, and each host then needs more retries when its connections fall silent.
 	uneven bool
 	// ratios has the ratios of recent prompts, and next the position of the oldest one.
 	ratios      []float64
@@ -141,6 +141,8 @@
 	if s.usesModel(e) {
 		read := plan.readTime(p)
 		x.nominal += time.Duration(float64(read)*s.speeds.factor()/s.speed(e)) - read
+	}
+	if e.LoadAware {
 		x.wait = max(x.wait, e.load.AdmissionWait(now, e.spec(), p.SharedTokens+p.OwnTokens+p.TokensOut))
 	}
 	x.read = time.Duration(float64(x.nominal) * e.health.Ratio(now))
--- a/internal/placing/load_test.go
+++ b/internal/placing/load_test.go
@@ -166,3 +166,33 @@
 		assert.Equal(t, s.Place(start.Add(time.Second), p).Instance, other, "prompt %d stalls the streams at its home", key+1)
 	}
 }
+
+// Engines of one speed. Prompts with a common part queued for the slots of its home while other engines had
+// free ones.
+func TestPromptsQueueForSlotsWhileOtherEnginesHaveFreeOnes(t *testing.T) {
+	const slots = 8
+	list := engines(4)
+	for i := range list {
+		list[i].LoadAware, list[i].Slots, list[i].EventTokens = true, slots, eventTokens
+	}
+	s := newScheduler(list...)
+	streams := make(map[string]int)
+	for i := range 3 * slots {
+		p := placing.Prompt{ID: uint64(i + 1), First: 1, Shared: 1, FirstTokens: 600, SharedTokens: 600, OwnTokens: 300, TokensOut: 10 * eventTokens}
+		got := s.Place(start.Add(time.Duration(i)*6*time.Millisecond), p)
+		streams[got.Instance]++
+		assert.Check(t, streams[got.Instance] <= slots, "%d streams at %s", streams[got.Instance], got.Instance)
+	}
+	t.Logf("%v", streams)
+
+	// Few prompts stay at their home.
+	s = newScheduler(list...)
+	home := s.Place(start, prompt(2)).Instance
+	for i := range 2 * slots {
+		p := prompt(2)
+		p.ID, p.TokensOut = uint64(i+1), 10*eventTokens
+		now := start.Add(time.Duration(i+1) * time.Second)
+		assert.Equal(t, s.Place(now, p).Instance, home)
+		s.Report(now.Add(500*time.Millisecond), placing.Report{Instance: home, ID: p.ID, EventGap: 25 * time.Millisecond})
+	}
+}
