trial, suspect: end only a host's own trial

Cause: a suspected request is tried one at a time, and a crash ends the trial at its owner, which then grants the next one. A host whose trial had ended in that way still released it when its own send failed, by the digest alone, and so ended the trial that another host had been granted meanwhile. In the trace the trial of 9.997 s, which waited for a connection to a dead server, was ended by a crash at 10.667; another host got the next one at 10.744, the first host released its own at 11.2, and a third got one at 11.202 while that of the second ran: two servers crashed in place of one.

Change: a host releases a trial only if it knows of no crash that has ended it.

TestReleaseOfEndedTrialEndsNextOne fails before the change.

--- a/internal/suspect/crash.go
+++ b/internal/suspect/crash.go
@@ -65,6 +65,10 @@
 	return c.Digest
 }
 
+// EndsTrial reports whether the crash is the outcome of a trial in progress. Requests with a part may have
+// been sent before the trial of the part began.
+func (c *Crash) EndsTrial() bool { return !c.Part || c.Trial }
+
 // merge merges another host's report of the same crash, and reports whether anything but the
 // time has changed.
 func (c *Crash) merge(other Crash) bool {
--- a/internal/suspect/crash_set.go
+++ b/internal/suspect/crash_set.go
@@ -226,6 +226,17 @@
 	s.evicted += len(excess)
 }
 
+// Outcomes returns how many crashes under a request or a part have ended trials of it.
+func (s *CrashSet) Outcomes(digest Digest) int {
+	count := 0
+	for _, c := range s.crashes[digest] {
+		if c.EndsTrial() {
+			count++
+		}
+	}
+	return count
+}
+
 // Crashes returns all crashes.
 func (s *CrashSet) Crashes() []Crash {
 	all := make([]Crash, 0, s.count)
--- a/internal/trial/group.go
+++ b/internal/trial/group.go
@@ -114,7 +114,7 @@
 	for _, e := range changed {
 		// The crash is the outcome of the trial, if there is one. Requests with a part may have been sent
 		// before that began.
-		if !e.Part || e.Trial {
+		if e.EndsTrial() {
 			g.trials.End(e.Digest)
 		}
 	}
@@ -286,10 +286,19 @@
 // progress on any host. The caller must call over at the end of the trial, unless a server crashed
 // during it.
 func (g *Group) StartTrial(ctx context.Context, digest suspect.Digest) (over func(), ok bool) {
+	outcomes := g.outcomes(digest)
+	endUnlessOver := func(end func()) func() {
+		return func() {
+			// A crash since then has ended the trial, and another one may have been granted.
+			if g.outcomes(digest) == outcomes {
+				end()
+			}
+		}
+	}
 	for _, p := range g.options.Owners.PeersFor(digest.String(), maxOwnersTried) {
 		granted, err := g.options.RequestTrial(ctx, p.Control, digest)
 		if err == nil {
-			return func() { g.options.ReleaseTrial(p.Control, digest) }, granted
+			return endUnlessOver(func() { g.options.ReleaseTrial(p.Control, digest) }), granted
 		}
 		if ctx.Err() != nil {
 			return nil, false
@@ -298,7 +307,14 @@
 		g.options.Scope.Counter("owner_failed").Inc(1)
 		g.options.Log.WithError(err).WithFields(logrus.Fields{"peer": p.Address, "digest": digest}).Warn("the owner of a suspected request failed")
 	}
-	return func() { g.EndTrial(digest) }, g.GrantTrial(digest)
+	return endUnlessOver(func() { g.EndTrial(digest) }), g.GrantTrial(digest)
+}
+
+// outcomes returns how many known crashes have ended trials of a request or a part.
+func (g *Group) outcomes(digest suspect.Digest) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.set.Outcomes(digest)
 }
 
 // State returns up to most requests under which several servers crashed, for the diagnostic
--- a/internal/trial/group_test.go
+++ b/internal/trial/group_test.go
@@ -103,6 +103,26 @@
 	}
 }
 
+// A host whose trial a crash had ended released it later, and with it the next trial, which another host had
+// been granted meanwhile.
+func TestReleaseOfEndedTrialEndsNextOne(t *testing.T) {
+	_, list := newHosts(4)
+	for i := range 3 {
+		list[i].RecordCrashes(crashOf(1, i))
+	}
+	endFirst, ok := list[1].StartTrial(t.Context(), 1)
+	assert.Assert(t, ok)
+	list[0].RecordCrashes(crashOf(1, 3))
+	endSecond, ok := list[2].StartTrial(t.Context(), 1)
+	assert.Assert(t, ok)
+	endFirst()
+	_, ok = list[3].StartTrial(t.Context(), 1)
+	assert.Assert(t, !ok, "two trials at a time")
+	endSecond()
+	_, ok = list[3].StartTrial(t.Context(), 1)
+	assert.Assert(t, ok)
+}
+
 func TestTrialIsGrantedLocallyWhenOwnersAreDown(t *testing.T) {
 	h, list := newHosts(4)
 	for i := range 3 {
