--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -177,16 +177,13 @@
 	return j.version
 }
 
-// bindVersion makes the stream go on at a software version only, unless one is bound already. It returns
-// the bound version.
-func (j *job) bindVersion(version string, evidence versionEvidence) string {
+// bindVersion makes the stream go on at a software version only, unless one is bound already.
+func (j *job) bindVersion(version string, evidence versionEvidence) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if !j.version.IsPresent() {
 		j.version, j.versionEvidence = option.Some(version), evidence
 	}
-	bound, _ := j.version.Get()
-	return bound
 }
 
 // recordFirstServer records which server sent the first event that this host forwarded.
