gateway: keep the record of versions over an outage of the publisher

Since a record of versions counted as interrupted whenever no known host had read the publisher for 3 s, an outage for all hosts too. After it, streams without a record would have been refused for the time that a stream may be taken up, although no host learns of new servers while the publisher answers none.

A record is interrupted now only if the host has lost half of the hosts that it knew as well, and never if it is the only one by its settings.

--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -108,8 +108,10 @@
 	// lastTick is when the process was last seen running, by the clock that also advances
 	// while the host is suspended.
 	lastTick atomic.Int64
-	// informedAt is when the host last had the publisher or a peer; only maintain uses it.
+	// informedAt is when the host last heard of changes, as far as it knows, and mostHosts the largest number
+	// of live hosts that it has known; only maintain uses them.
 	informedAt time.Time
+	mostHosts  int
 	// loggedHosts is the number of known hosts that was last logged; only maintain uses it.
 	loggedHosts int
 	start       time.Time
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -77,11 +77,15 @@
 	}
 }
 
-// checkVersionRecord records a gap in the record of software versions while no host that this one knows reads
-// the publisher.
+// checkVersionRecord records a gap in the record of software versions while this host hears of no changes and
+// others may: no host that it knows reads the publisher, and it has lost half of the hosts. An outage of the
+// publisher alone is no gap, since no host learns of new servers then.
 func (n *Node) checkVersionRecord(now time.Time) {
+	known := n.hostCache.current()
+	n.mostHosts = max(n.mostHosts, known.live)
+	informed := n.view.Self().Reads || known.readers > 0
 	switch {
-	case n.view.Self().Reads || n.hostCache.current().readers > 0:
+	case informed || n.isAlone() || 2*known.live > n.mostHosts && n.mostHosts > 1:
 		n.informedAt = now
 	case now.Sub(n.informedAt) > uninformedLimit:
 		n.versions.Interrupt()
