gateway: a host that has met others is not alone

Streams of a version that had come and left while two hosts were cut from the store and all others went on at the other version: 8 to 10 of 40 in 6 runs of TestStreamsGoOnAtTheOnlyVersionOfBlindHosts. A host whose only seed is itself counted as the only one there is, kept its record of versions for whole, and told it to the others: the log of a run shows it at 10 minutes all the time without publisher and with one peer.

--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -85,7 +85,7 @@
 	n.mostHosts = max(n.mostHosts, known.live)
 	informed := n.view.Self().Reads || known.readers > 0
 	switch {
-	case informed || n.isAlone() || 2*known.live > n.mostHosts && n.mostHosts > 1:
+	case informed || n.mostHosts == 1 && n.isAlone() || n.mostHosts > 1 && 2*known.live > n.mostHosts:
 		n.informedAt = now
 	case now.Sub(n.informedAt) > uninformedLimit:
 		n.versions.Interrupt()
