gateway: log what a host believes of versions when it has no record of a stream

Whether a stream went on by a record, or because one version was in sight, stood in the lines of requests; how many versions the host knew, and from which sources in contact, did not.

--- a/internal/gateway/components.go
+++ b/internal/gateway/components.go
@@ -59,7 +59,7 @@
 		Limits:           n.limits,
 		Suspects:         n.suspects,
 		Origins:          n.origins,
-		Versions:         n.versions,
+		Versions:         servedVersions{n},
 		Confirm:          n.confirmer.confirm,
 		Unreachable:      n.Unreachable,
 		OwnersKnown:      n.settled,
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/wingvale/wingvale/internal/fleet"
 	"github.com/wingvale/wingvale/internal/peer"
 	"github.com/wingvale/wingvale/internal/publisher"
@@ -43,6 +45,24 @@
 	})
 }
 
+// servedVersions tells the relay core which software versions servers have had.
+type servedVersions struct {
+	node *Node
+}
+
+// During returns the versions that the servers of a service have had within window, and whether these are
+// known to be all.
+func (s servedVersions) During(ctx context.Context, service string, window time.Duration) (versions []string, complete bool) {
+	n := s.node
+	versions, complete = n.versions.During(ctx, service, window)
+	self, known := n.view.Self(), n.hostCache.current()
+	n.log.WithFields(logrus.Fields{
+		"service": service, "versions": versions, "complete": complete, "observed_ms": n.versions.Report().Observed.Milliseconds(),
+		"reads": self.Reads, "readers": known.readers, "hosts": known.live, "members": len(n.view.Members()),
+	}).Info("no record of a stream; looked for the versions of its service")
+	return versions, complete
+}
+
 // recordVersions records the software versions of servers that were added and removed.
 func (n *Node) recordVersions(changes []change) {
 	for _, c := range changes {
