gateway: prove that the list of servers is current before a stream relies on it

Callers that took streams up at a host which had been cut off since before a release got the first events from servers of the new version and the rest from servers of the old one, as one whole answer.

Cause: without a record of a stream, a host takes the only version of its record for that of the stream. The record counted as complete up to now, although the host may have heard of nothing for seconds: an absence in a view of unknown age was taken for an absence now. The gap that checkVersionRecord notices comes after 3 s without any live reader, and readers count as live until they were found to be silent.

Now one version counts only if the list is proved to be as new as the arrival of the request: the publisher answers this host or another one that it reaches, or all hosts that may run tell which versions they know (a host that refuses the connection has ended; one that is silent may be cut off and serve). The attempts are shared between requests, limited to 200 ms, and begun while the keepers of the record have not answered for 50 ms. Versions of servers that joined and left within one answer of the publisher are recorded, too.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -72,6 +72,8 @@
 	reached Reached
 	// spreads counts how often the state was passed on.
 	spreads int
+	// ended reports whether the member is gone because it was shut down as planned.
+	ended bool
 }
 
 // New returns a view that holds only self.
@@ -168,6 +170,7 @@
 	if changed || m.Peer != old.Peer || m.Capacity != old.Capacity || m.Zone != old.Zone {
 		v.version++
 	}
+	old.ended = m.State == StateGone && sameRun && (old.ended || old.State == StateLeaving)
 	old.Member = m
 	if changed {
 		old.stateSince, old.spreads = now, 0
@@ -209,7 +212,7 @@
 	}
 	// A leaving member that does not answer has shut down; it will not refute a suspicion.
 	if k.State == StateLeaving {
-		k.State = StateGone
+		k.State, k.ended = StateGone, true
 	} else {
 		k.State = StateSuspect
 	}
@@ -253,7 +256,7 @@
 			v.lastChangeAt, v.cachedSums = now, nil
 			v.version++
 		case k.State == StateLeaving && age >= v.options.ForgetAfter:
-			k.State = StateGone
+			k.State, k.ended = StateGone, true
 			k.stateSince, k.spreads = now, 0
 			v.cachedSums = nil
 			v.version++
@@ -281,6 +284,20 @@
 	return members
 }
 
+// MayRun returns the members that are not known to have shut down: a member that is gone may only be cut off
+// from this node.
+func (v *View) MayRun() []Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	members := make([]Member, 0, len(v.members))
+	for _, k := range v.members {
+		if !k.ended {
+			members = append(members, k.Member)
+		}
+	}
+	return members
+}
+
 // Version returns a number that increases when a member joins, leaves or restarts, or when anything
 // in its record changes except the beat and the load. Results derived from the members without
 // their beats and loads can be cached while it is unchanged.
--- a/internal/gateway/components.go
+++ b/internal/gateway/components.go
@@ -58,7 +58,7 @@
 		Notices:          n.notices,
 		Limits:           n.limits,
 		Suspects:         n.suspects,
-		Origins:          n.origins,
+		Origins:          streamOrigins{n.origins, n},
 		Versions:         servedVersions{n},
 		Confirm:          n.confirmer.confirm,
 		Unreachable:      n.Unreachable,
--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -120,6 +120,9 @@
 
 // confirmForPeer answers a peer's request for confirmation.
 func (c *configConfirmer) confirmForPeer(ctx context.Context, space peerpb.Space) bool {
+	if space == peerpb.Space_SPACE_HOSTS {
+		return c.node.listPoll.result(ctx, time.Now())
+	}
 	return space == peerpb.Space_SPACE_CONFIGURATION && c.publisherCheck.result(ctx)
 }
 
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -141,3 +141,14 @@
 	n.links.detector.Put(reach.Server{Address: server, Service: "s", Zone: "a"})
 	linkObserver{n.links.detector}.Answered(server)
 }
+
+// FreshCheck is a freshCheck.
+type FreshCheck[T comparable] struct{ c *freshCheck[T] }
+
+// NewFreshCheck returns a FreshCheck.
+func NewFreshCheck[T comparable](ctx context.Context, check func(ctx context.Context) T) FreshCheck[T] {
+	return FreshCheck[T]{newFreshCheck(ctx, check)}
+}
+
+// Result returns the result of a run that began at since or later.
+func (f FreshCheck[T]) Result(ctx context.Context, since time.Time) T { return f.c.result(ctx, since) }
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -66,21 +66,25 @@
 	settings settings.Gateway
 	log      logrus.FieldLogger
 
-	directives  *published.Store[Directive]
-	listed      *published.Store[*relay.Server]
-	view        *fleet.View
-	gossip      *peer.Gossip
-	stores      map[publisher.Space]publisher.Store
-	watchers    []*publisher.Watcher
-	peers       *http.Client
-	backends    *exchange.Pool
-	stages      *stagepool.Group
-	engines     *enginepool.Group
-	notices     *notice.Registry
-	limits      *ratelimit.Group
-	suspects    *trial.Group
-	origins     *origin.Group
-	versions    *versionlog.Log
+	directives *published.Store[Directive]
+	listed     *published.Store[*relay.Server]
+	view       *fleet.View
+	gossip     *peer.Gossip
+	stores     map[publisher.Space]publisher.Store
+	watchers   []*publisher.Watcher
+	peers      *http.Client
+	backends   *exchange.Pool
+	stages     *stagepool.Group
+	engines    *enginepool.Group
+	notices    *notice.Registry
+	limits     *ratelimit.Group
+	suspects   *trial.Group
+	origins    *origin.Group
+	versions   *versionlog.Log
+	// listPoll asks the publisher for changes of the list of servers, and listProof proves that the list is
+	// current.
+	listPoll    *freshCheck[bool]
+	listProof   *freshCheck[listProof]
 	core        *relay.Core
 	serverTable *serverTable
 	hostCache   *hostCache
@@ -154,6 +158,8 @@
 	n.suspects = n.newSuspects()
 	n.origins = n.newOrigins()
 	n.versions = n.newVersions()
+	n.listPoll = newFreshCheck(ctx, n.pollList)
+	n.listProof = newFreshCheck(ctx, n.proveList)
 	n.limits = n.newLimits(ctx.Done())
 	n.notices = n.newNotices()
 	n.gossip = n.newGossip()
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wingvale/wingvale/internal/fleet"
+	"github.com/wingvale/wingvale/internal/option"
 	"github.com/wingvale/wingvale/internal/origin"
 )
 
@@ -32,6 +33,24 @@
 	})
 }
 
+// originProofDelay is how long the keepers of a stream's record may take to answer before the host begins to
+// prove that its list of servers is current, which it needs if they don't know the stream.
+const originProofDelay = 50 * time.Millisecond
+
+// streamOrigins finds the records of streams for the relay core.
+type streamOrigins struct {
+	*origin.Group
+	node *Node
+}
+
+// Find returns what began the stream of an attempt, if a host that may know it is reached.
+func (s streamOrigins) Find(ctx context.Context, attempt string) option.Value[string] {
+	begun := time.Now()
+	proof := time.AfterFunc(originProofDelay, func() { s.node.listProof.result(ctx, begun) })
+	defer proof.Stop()
+	return s.Group.Find(ctx, attempt)
+}
+
 // newKeepers returns the hosts that may keep the versions of streams, small and isolated ones too.
 func (n *Node) newKeepers(members []fleet.Member, leaving bool) *origin.Hosts {
 	self := keeperOf(n.view.Self())
--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -51,13 +51,21 @@
 }
 
 // During returns the versions that the servers of a service have had within window, and whether these are
-// known to be all.
-func (s servedVersions) During(ctx context.Context, service string, window time.Duration) (versions []string, complete bool) {
+// known to be all as of a time. A host may have missed that servers joined, so that one version alone
+// counts only if the list is proved to be current.
+func (s servedVersions) During(ctx context.Context, service string, window time.Duration, asOf time.Time) (versions []string, complete bool) {
 	n := s.node
 	versions, complete = n.versions.During(ctx, service, window)
+	proof := proofNone
+	if complete && len(versions) <= 1 {
+		proof = n.listProof.result(ctx, asOf)
+		versions, complete = n.versions.Known(service, window)
+		complete = complete && proof != proofNone
+	}
+	n.options.Scope.Tagged(map[string]string{"proof": cmp.Or(string(proof), "none")}).Counter("version_lists_checked").Inc(1)
 	self, known := n.view.Self(), n.hostCache.current()
 	n.log.WithFields(logrus.Fields{
-		"service": service, "versions": versions, "complete": complete, "observed_ms": n.versions.Report().Observed.Milliseconds(),
+		"service": service, "versions": versions, "complete": complete, "proof": string(proof), "observed_ms": n.versions.Report().Observed.Milliseconds(),
 		"reads": self.Reads, "readers": known.readers, "hosts": known.live, "members": len(n.view.Members()),
 	}).Info("no record of a stream; looked for the versions of its service")
 	return versions, complete
@@ -98,8 +106,8 @@
 }
 
 // checkVersionRecord records a gap in the record of software versions while this host hears of no changes and
-// others may: no host that it knows reads the publisher, and it has lost half of the hosts. An outage of the
-// publisher alone is no gap, since no host learns of new servers then.
+// others may: no host that it knows reads the publisher, and it has lost half of the hosts. Whether the record is
+// current is proved when a stream needs it (proveList).
 func (n *Node) checkVersionRecord(now time.Time) {
 	known := n.hostCache.current()
 	n.mostHosts = max(n.mostHosts, known.live)
--- a/internal/gateway/watch.go
+++ b/internal/gateway/watch.go
@@ -68,6 +68,9 @@
 		OnAnswering: func(answers bool) { n.setPublisherAnswers(space, answers) },
 		Accepted:    func(entries []published.Entry) { n.applyWatched(space, entries) },
 		OnChanges: func(after, through published.Position, entries []published.Entry) {
+			if space == publisher.SpaceHosts {
+				n.noteVersions(entries)
+			}
 			n.pushChanges(space, peer.Changes{After: after, Through: through, Entries: entries})
 		},
 		OnUnavailable: func() { n.serverTable.publisherLost(time.Now()) },
--- a/internal/relay/version.go
+++ b/internal/relay/version.go
@@ -61,14 +61,16 @@
 // Versions knows which software versions servers have had. It is safe for concurrent use.
 type Versions interface {
 	// During returns the versions that the servers of a service have had within window, in ascending order,
-	// and whether these are known to be all.
-	During(ctx context.Context, service string, window time.Duration) (versions []string, complete bool)
+	// and whether these are known to be all as of a time, which is not in the future.
+	During(ctx context.Context, service string, window time.Duration, asOf time.Time) (versions []string, complete bool)
 }
 
 // noVersions knows no versions.
 type noVersions struct{}
 
-func (noVersions) During(context.Context, string, time.Duration) ([]string, bool) { return nil, false }
+func (noVersions) During(context.Context, string, time.Duration, time.Time) ([]string, bool) {
+	return nil, false
+}
 
 // streamOrigin is what began a stream. A route may have several services, whose versions have nothing to do
 // with each other.
@@ -112,7 +114,7 @@
 		j.core.scope.Counter("streams_of_unknown_version").Inc(1)
 		return j.refuse(ReasonVersionUnknown, minRetryAfter, "nobody knows which service and version began the stream of %q", j.Origin)
 	}
-	versions, complete := j.core.options.Versions.During(ctx, j.service.Name, j.route.Timeout+takeUpSlack)
+	versions, complete := j.core.options.Versions.During(ctx, j.service.Name, j.route.Timeout+takeUpSlack, j.Arrived)
 	if complete && len(versions) == 1 {
 		j.takeUp(versions[0], evidenceOnlyVersion)
 		return s.checkVersion()
--- a/internal/versionlog/log.go
+++ b/internal/versionlog/log.go
@@ -105,6 +105,28 @@
 	l.removed[k] = time.Now()
 }
 
+// Saw records that a server of a version was listed for a moment, at least.
+func (l *Log) Saw(service, version string) {
+	l.Hear(Report{Versions: []Seen{{Service: service, Version: version}}})
+}
+
+// Hear adds the versions in a report.
+func (l *Log) Hear(r Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addSeen(time.Now(), r.Versions)
+}
+
+// addSeen adds versions that this host does not list itself. The mutex must be held.
+func (l *Log) addSeen(now time.Time, versions []Seen) {
+	for _, s := range versions {
+		k := key{s.Service, s.Version}
+		if at := now.Add(-s.Ago); l.listed[k] == 0 && at.After(l.removed[k]) {
+			l.removed[k] = at
+		}
+	}
+}
+
 // Complete records that the host knows all servers from now on, and reports whether it did not before.
 func (l *Log) Complete() bool {
 	l.mu.Lock()
@@ -155,15 +177,16 @@
 // longer, in ascending order, and whether all of those within window are known. It asks other hosts and the publisher if this host has not run long
 // enough to tell.
 func (l *Log) During(ctx context.Context, service string, window time.Duration) (versions []string, complete bool) {
-	versions, complete = l.known(service, window)
+	versions, complete = l.Known(service, window)
 	if complete || len(versions) > 1 {
 		return versions, complete
 	}
 	l.Learn(ctx, window)
-	return l.known(service, window)
+	return l.Known(service, window)
 }
 
-func (l *Log) known(service string, window time.Duration) (versions []string, complete bool) {
+// Known is like During, but asks nobody.
+func (l *Log) Known(service string, window time.Duration) (versions []string, complete bool) {
 	now := time.Now()
 	seen := max(window, SeenWindow)
 	l.mu.Lock()
@@ -252,12 +275,7 @@
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, s := range r.Versions {
-		k := key{s.Service, s.Version}
-		if at := now.Add(-s.Ago); l.listed[k] == 0 && at.After(l.removed[k]) {
-			l.removed[k] = at
-		}
-	}
+	l.addSeen(now, r.Versions)
 	if since := now.Add(-r.Observed); l.gaps == gaps && since.Before(l.since) {
 		l.since = since
 	}
