relay: take no request late in a stop that may outlast the host

In a planned stop in calm, requests that came late in the grace were sent to servers and ended with 502, or their stream was cut, at the end of the grace; they could not be sent again where they must not run twice.

Cause: whether a request ends in time was estimated from what its route took in the last 30 s. Servers that turn slower, or one slow server among fast ones, are beyond any such estimate.

Requests that arrive later than 3 s after the stop began are taken only if their own time limit ends before the host does, or if no other host serves. The others are refused at once, as not run, and served elsewhere.

--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -135,7 +135,7 @@
 		assert.Equal(t, sink.String(), "answer")
 		assert.Equal(t, runs.Load(), int32(1))
 		assert.Assert(t, time.Since(request.Arrived) < 100*time.Millisecond)
-		nodes[1].Leave(ctx, time.Now())
+		nodes[1].Leave(ctx, time.Now(), time.Now())
 		time.Sleep(time.Second)
 		request.Arrived = time.Now()
 		err = nodes[0].Serve(t.Context(), request, &sink)
--- a/internal/gateway/ready.go
+++ b/internal/gateway/ready.go
@@ -164,13 +164,16 @@
 }
 
 // Leave begins a graceful stop: it notifies peers, callers are sent to other nodes from now on,
-// and requests still running at end are answered then.
-func (n *Node) Leave(ctx context.Context, end time.Time) {
+// and requests still running at end are answered then. Those that arrive at certainFrom or later are taken only if
+// their own time limit is before end, or no other host serves.
+func (n *Node) Leave(ctx context.Context, end, certainFrom time.Time) {
 	if !n.leaving.CompareAndSwap(false, true) {
 		return
 	}
 	n.log.Info("leaving")
-	n.core.StartDrain(end)
+	n.core.StartDrain(relay.Drain{
+		End: end, CertainFrom: certainFrom, OthersServe: func() bool { return n.hostCache.current().live > 0 },
+	})
 	n.view.Leave()
 	n.origins.Sync()
 	n.gossip.Announce(ctx, announceFanout)
--- a/internal/handover/hosts_test.go
+++ b/internal/handover/hosts_test.go
@@ -170,7 +170,7 @@
 		s.isolate(0)
 		for i := range 10 {
 			if i == 5 {
-				s.hosts[1].core.StartDrain(time.Now().Add(100 * time.Millisecond))
+				s.hosts[1].core.StartDrain(relay.Drain{End: time.Now().Add(100 * time.Millisecond), OthersServe: func() bool { return true }})
 			}
 			assert.NilError(t, s.serve(t.Context(), "once", &recorder{}))
 		}
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -24,13 +24,25 @@
 // when the host ends still gets an error answer.
 const unknownRouteFactor = 2.0
 
-// drainState holds when a draining host ends.
+// Drain is how a host drains.
+type Drain struct {
+	// End is when the host ends. Requests that are not done then are answered.
+	End time.Time
+	// CertainFrom is the time of arrival from which a request is taken only if its own time limit is before End.
+	// How long others took says nothing certain, and one that is cut off may have run.
+	CertainFrom time.Time
+	// OthersServe reports whether there are hosts that don't drain. If there are none, nothing is gained by
+	// refusing a request that probably ends in time.
+	OthersServe func() bool
+}
+
+// drainState holds how a draining host ends.
 type drainState struct {
 	// started is done once the host drains.
 	started context.Context
 	start   context.CancelFunc
-	// endsAt is set before started is done.
-	endsAt time.Time
+	// Drain is set before started is done.
+	Drain
 }
 
 func newDrainState() *drainState {
@@ -39,10 +51,10 @@
 	return d
 }
 
-// StartDrain starts to drain the core: it refuses requests that may not be done by end, and
-// at end answers those that are not. It must be called at most once.
-func (c *Core) StartDrain(end time.Time) {
-	c.drain.endsAt = end
+// StartDrain starts to drain the core: it refuses requests that may not be done by the end, and
+// then answers those that are not. It must be called at most once.
+func (c *Core) StartDrain(d Drain) {
+	c.drain.Drain = d
 	c.drain.start()
 }
 
@@ -52,7 +64,7 @@
 	if d.started.Err() == nil {
 		return 0, false
 	}
-	return time.Until(d.endsAt), true
+	return time.Until(d.End), true
 }
 
 // withDrainDeadline returns a context derived from ctx that is cancelled with errDrained
@@ -62,10 +74,10 @@
 	d := j.core.drain
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := context.AfterFunc(d.started, func() {
-		if !j.deadline.After(d.endsAt) {
+		if !j.deadline.After(d.End) {
 			return
 		}
-		timer := time.AfterFunc(time.Until(d.endsAt)-rest, func() { cancel(errDrained) })
+		timer := time.AfterFunc(time.Until(d.End)-rest, func() { cancel(errDrained) })
 		context.AfterFunc(ctx, func() { timer.Stop() })
 	})
 	return ctx, func() {
@@ -88,8 +100,12 @@
 }
 
 func (j *job) checkDrain(need time.Duration) error {
-	left, leaving := j.core.drain.remaining()
-	if !leaving || j.possibleRuns() > 0 || min(need, j.remaining()) <= left {
+	d := j.core.drain
+	left, leaving := d.remaining()
+	if !leaving || j.possibleRuns() > 0 || j.remaining() <= left {
+		return nil
+	}
+	if need <= left && (j.Arrived.Before(d.CertainFrom) || !d.OthersServe()) {
 		return nil
 	}
 	j.core.scope.Counter("left_to_others").Inc(1)
