intake, platform: bound the memory that clients' requests take together

Cause: each body had a limit, all of them together had none. The buffer for a body was made as long as announced, or grown without count, and held for 10 s however little of it came.

Now the bytes of requests, heads too, count against one memory as they arrive and until the request was served: a quarter of memory-mb, or [callers] memory-mb.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -56,7 +56,7 @@
 	defer func() { _ = closer.Close() }()
 	dialer, listener := newDialer(), newListenConfig()
 	p := platform.New(platform.Options{
-		Settings: s,
+		Settings: withResources(s),
 		Log:      log.WithField("node", s.Callers.String()),
 		Scope:    scope,
 		Dial:     dialer.DialContext,
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -35,6 +35,9 @@
 	Cores    float64
 	// MemoryMB is the memory that the process may use, in MB; 0 means unknown.
 	MemoryMB float64
+	// ClientMemoryMB is the memory for the requests of callers until they have been served, in MB; 0 means a share
+	// of MemoryMB.
+	ClientMemoryMB float64
 	// Seeds are the peer addresses to contact first; they may be stale.
 	Seeds []netip.AddrPort
 	// Publisher is the address from which the configuration and the backend servers are read.
@@ -125,6 +128,7 @@
 		{section: "publisher", name: "address", required: true, set: address(&g.Publisher)},
 		{section: "publisher", name: "history", set: duration(&g.PublisherHistory, 0, maxDuration)},
 		{section: "publisher", name: "ready-after", set: duration(&g.ReadyAfter, 0, maxDuration)},
+		{section: "callers", name: "memory-mb", set: amount(&g.ClientMemoryMB)},
 		{section: "callers", name: "hold", set: duration(&g.AnswerTTL, time.Second, maxDuration)},
 		{section: "stop", name: "grace", set: duration(&g.StopTimeout, time.Second, maxDuration)},
 		{section: "retries", name: "share", set: fraction(&g.RetryShare)},
