--- a/internal/daemon/resources.go
+++ b/internal/daemon/resources.go
@@ -12,6 +12,9 @@
 	"github.com/wingvale/wingvale/internal/settings"
 )
 
+// maxOpenFiles is the largest number of descriptors that is made use of.
+const maxOpenFiles = 1 << 20
+
 // cgroupMemory is the file with the limit of memory of the process's control group.
 const cgroupMemory = "/sys/fs/cgroup/memory.max"
 
@@ -20,6 +23,10 @@
 	if s.MemoryMB == 0 {
 		s.MemoryMB = float64(availableMemory()) / bytesPerMegabyte
 	}
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err == nil && (s.OpenFiles == 0 || files.Cur < uint64(s.OpenFiles)) {
+		s.OpenFiles = int(min(files.Cur, maxOpenFiles))
+	}
 	return s
 }
 
--- a/internal/gateway/node.go
+++ b/internal/gateway/node.go
@@ -36,7 +36,7 @@
 	"github.com/wingvale/wingvale/request"
 )
 
-// Options are the dependencies of a Node. All are required.
+// Options are the dependencies of a Node. All are required unless they state otherwise.
 type Options struct {
 	Settings settings.Gateway
 	Log      logrus.FieldLogger
@@ -58,6 +58,8 @@
 	// SinceBoot is a clock that, unlike the monotonic clock, also advances while the host is
 	// suspended.
 	SinceBoot func() time.Duration
+	// PeerConnState is the ConnState hook of the server for other hosts. It may be nil.
+	PeerConnState func(net.Conn, http.ConnState)
 }
 
 // Node is one host. Run must be called exactly once.
@@ -248,7 +250,7 @@
 	mux.Mount(path, handler)
 	mux.Mount(handover.Path, n.countInFlight(n.handoverHandler()))
 	counted := traffic{scope: n.options.Scope.SubScope("peer")}.handler(mux)
-	server := &http.Server{Handler: counted, ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout}
+	server := &http.Server{Handler: counted, ReadHeaderTimeout: headerTimeout, IdleTimeout: peerIdleTimeout, ConnState: n.options.PeerConnState}
 	var tasks sync.WaitGroup
 	for _, w := range n.watchers {
 		tasks.Go(func() { w.Run(ctx) })
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -35,6 +35,8 @@
 	Cores    float64
 	// MemoryMB is the memory that the process may use, in MB; 0 means unknown.
 	MemoryMB float64
+	// OpenFiles is how many descriptors the process may have open; 0 means unknown.
+	OpenFiles int
 	// ClientMemoryMB is the memory for the requests of callers until they have been served, in MB; 0 means a share
 	// of MemoryMB.
 	ClientMemoryMB float64
@@ -112,7 +114,10 @@
 }
 
 func (g *Gateway) keys() []key {
-	const maxDuration = time.Hour
+	const (
+		maxDuration  = time.Hour
+		maxOpenFiles = 1 << 24
+	)
 	return []key{
 		{section: "node", name: "callers", required: true, set: address(&g.Callers)},
 		{section: "node", name: "entries", required: true, set: address(&g.Entries)},
@@ -124,6 +129,7 @@
 		{section: "node", name: "link-mbps", set: amount(&g.LinkMbps)},
 		{section: "node", name: "cores", set: amount(&g.Cores)},
 		{section: "node", name: "memory-mb", set: amount(&g.MemoryMB)},
+		{section: "node", name: "open-files", set: number(&g.OpenFiles, 0, maxOpenFiles)},
 		{section: "node", name: "seeds", set: addresses(&g.Seeds)},
 		{section: "publisher", name: "address", required: true, set: address(&g.Publisher)},
 		{section: "publisher", name: "history", set: duration(&g.PublisherHistory, 0, maxDuration)},
