--- a/internal/gateway/versions.go
+++ b/internal/gateway/versions.go
@@ -57,12 +57,12 @@
 	n := s.node
 	versions, complete = n.versions.During(ctx, service, window)
 	proof := proofNone
-	if complete && len(versions) <= 1 {
+	if complete && len(versions) == 1 {
 		proof = n.listProof.result(ctx, asOf)
 		versions, complete = n.versions.Known(service, window)
 		complete = complete && proof != proofNone
+		n.options.Scope.Tagged(map[string]string{"proof": cmp.Or(string(proof), "none")}).Counter("version_lists_checked").Inc(1)
 	}
-	n.options.Scope.Tagged(map[string]string{"proof": cmp.Or(string(proof), "none")}).Counter("version_lists_checked").Inc(1)
 	self, known := n.view.Self(), n.hostCache.current()
 	n.log.WithFields(logrus.Fields{
 		"service": service, "versions": versions, "complete": complete, "proof": string(proof), "observed_ms": n.versions.Report().Observed.Milliseconds(),
