relay, intake: don't hold answers for callers that don't read them

Cause: the buffer that lets a broken answer be replaced lived on while the rest was copied at the caller's pace, and nothing counted what waits to be written.

The buffer goes once it is written. Large parts count against the memory of clients while they are written; the caller that takes least gives way to others and loses its connection.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -54,7 +54,7 @@
 		}
 		n, err := body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
-		h.Received(int64(n))
+		h.Passed(int64(n))
 		switch {
 		case errors.Is(err, io.EOF):
 			h.Complete()
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -40,9 +41,9 @@
 
 	mu sync.Mutex
 	// holding is that of the request that is read or served; nil between requests. begun reports whether its
-	// handler runs, which then holds what the body takes.
-	holding *Holding
-	begun   bool
+	// handler runs, which then holds what the body takes, and sending whether it writes an answer.
+	holding        *Holding
+	begun, sending bool
 	// wire counts the bytes that were read.
 	wire int64
 }
@@ -69,7 +70,7 @@
 	}
 	h := c.holding
 	c.mu.Unlock()
-	h.Received(n)
+	h.Passed(n)
 	if h.Grow(n) {
 		return true
 	}
@@ -77,12 +78,13 @@
 	return false
 }
 
-// stop ends the reading of a request. Before its handler runs, nobody could answer it.
+// stop ends the reading of a request, or the writing of its answer. Only while the body is read, the request can be
+// answered.
 func (c *Conn) stop() {
 	c.mu.Lock()
-	begun := c.begun
+	inBody := c.begun && !c.sending
 	c.mu.Unlock()
-	if begun {
+	if inBody {
 		// An error means that the connection is closed already.
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 		return
@@ -101,11 +103,39 @@
 	return c.holding
 }
 
+// sendBytes is how much of a large answer is written at a time.
+const sendBytes = 16 << 10
+
+// Send writes a part of an answer to w, which writes to the connection. A large part counts against the memory until
+// the client has taken it.
+func (c *Conn) Send(w io.Writer, part []byte) error {
+	size := int64(len(part))
+	if size <= sendBytes {
+		_, err := w.Write(part)
+		return err
+	}
+	c.mu.Lock()
+	h := c.holding
+	c.sending = true
+	c.mu.Unlock()
+	h.Send(size)
+	defer h.Sent(size)
+	for len(part) > 0 {
+		n, err := w.Write(part[:min(len(part), sendBytes)])
+		if err != nil {
+			return err
+		}
+		h.Passed(int64(n))
+		part = part[n:]
+	}
+	return nil
+}
+
 // Release records that the handler has returned, and gives back what the request held.
 func (c *Conn) Release() {
 	c.mu.Lock()
 	h := c.holding
-	c.holding, c.begun = nil, false
+	c.holding, c.begun, c.sending = nil, false, false
 	c.mu.Unlock()
 	if h != nil {
 		h.Release()
--- a/internal/intake/memory.go
+++ b/internal/intake/memory.go
@@ -44,8 +44,9 @@
 
 	mu           sync.Mutex
 	small, large part
-	// reading has the requests of which more is expected. Only these can be evicted.
-	reading map[*Holding]struct{}
+	// pending has the requests whose clients are waited for: to send more, or to take their answer. Only these can
+	// be evicted.
+	pending map[*Holding]struct{}
 	// refused counts the requests that were refused since reportedAt.
 	refused    int
 	reportedAt time.Time
@@ -55,7 +56,7 @@
 func NewMemory(o MemoryOptions) *Memory {
 	small := int64(smallShare * float64(o.Bytes))
 	return &Memory{
-		options: o, reading: make(map[*Holding]struct{}),
+		options: o, pending: make(map[*Holding]struct{}),
 		small: part{name: "small", size: small}, large: part{name: "large", size: o.Bytes - small},
 	}
 }
@@ -70,29 +71,29 @@
 	// request was evicted.
 	bytes   int64
 	evicted bool
-	// beganAt is when the request began. received and before count the bytes that arrived in the window since
-	// windowAt and in the one before that.
+	// beganAt is when the request, or its answer, began. passed and before count the bytes that came from the client,
+	// or that it took, in the window since windowAt and in the one before that.
 	beganAt, windowAt time.Time
-	received, before  int64
+	passed, before    int64
 }
 
-// Hold returns a holding of no bytes. evict is called at most once, if another request needs the memory while this
-// one is being read, and must not block.
+// Hold returns a holding of no bytes. evict is called at most once, if another request needs the memory while the
+// client of this one is waited for, and must not block.
 func (m *Memory) Hold(evict func()) *Holding {
 	now := time.Now()
 	h := &Holding{memory: m, evict: evict, beganAt: now, windowAt: now}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.reading[h] = struct{}{}
+	m.pending[h] = struct{}{}
 	return h
 }
 
-// Received records that bytes of the request have arrived.
-func (h *Holding) Received(count int64) {
+// Passed records that bytes of the request have arrived, or that the client has taken some of the answer.
+func (h *Holding) Passed(count int64) {
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
 	h.advance(time.Now())
-	h.received += count
+	h.passed += count
 }
 
 // advance begins a new window if the last one is over.
@@ -100,9 +101,9 @@
 	switch age := now.Sub(h.windowAt); {
 	case age < progressWindow:
 	case age < 2*progressWindow:
-		h.before, h.received, h.windowAt = h.received, 0, now
+		h.before, h.passed, h.windowAt = h.passed, 0, now
 	default:
-		h.before, h.received, h.windowAt = 0, 0, now
+		h.before, h.passed, h.windowAt = 0, 0, now
 	}
 }
 
@@ -117,7 +118,7 @@
 	}
 	h.advance(now)
 	other.advance(now)
-	if a, b := h.before+h.received, other.before+other.received; a != b {
+	if a, b := h.before+h.passed, other.before+other.passed; a != b {
 		return a < b
 	}
 	return h.beganAt.Before(other.beganAt)
@@ -155,15 +156,11 @@
 			if victim == nil {
 				return victims, false
 			}
-			m.drop(victim)
-			victim.evicted = true
-			m.reportRefusal()
+			m.evict(victim)
 			victims = append(victims, victim)
 		}
 	}
-	m.small.used += small
-	m.large.used += count - small
-	h.bytes += count
+	m.charge(h, count)
 	m.report()
 	return victims, true
 }
@@ -171,7 +168,7 @@
 // slowest returns the slowest request that holds some of a part and is slower than h; nil if there is none.
 func (m *Memory) slowest(h *Holding, large bool) *Holding {
 	now, slowest := time.Now(), h
-	for other := range m.reading {
+	for other := range m.pending {
 		if other.bytes > 0 && (!large || other.bytes > smallBytes) && other.isSlowerThan(slowest, now) {
 			slowest = other
 		}
@@ -184,11 +181,64 @@
 
 // drop gives back what a request holds.
 func (m *Memory) drop(h *Holding) {
-	small := min(h.bytes, smallBytes)
-	m.small.used -= small
-	m.large.used -= h.bytes - small
-	h.bytes = 0
-	delete(m.reading, h)
+	m.charge(h, -h.bytes)
+	delete(m.pending, h)
+}
+
+// Send takes the bytes of an answer that is about to be written. It has been made, so that it is never refused; other
+// requests give way as far as they can.
+func (h *Holding) Send(count int64) {
+	m, now := h.memory, time.Now()
+	m.mu.Lock()
+	if h.evicted {
+		m.mu.Unlock()
+		return
+	}
+	h.beganAt, h.windowAt, h.passed, h.before = now, now, 0, 0
+	m.pending[h] = struct{}{}
+	m.charge(h, count)
+	var victims []*Holding
+	for m.large.used > m.large.size {
+		victim := m.slowest(h, true)
+		if victim == nil {
+			break
+		}
+		m.evict(victim)
+		victims = append(victims, victim)
+	}
+	m.report()
+	m.mu.Unlock()
+	for _, v := range victims {
+		v.evict()
+	}
+}
+
+// Sent gives the bytes of an answer back that Send has taken.
+func (h *Holding) Sent(count int64) {
+	m := h.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if h.evicted {
+		return
+	}
+	delete(m.pending, h)
+	m.charge(h, -count)
+	m.report()
+}
+
+// charge adds to what a request holds, or takes from it.
+func (m *Memory) charge(h *Holding, count int64) {
+	small := min(h.bytes+count, smallBytes) - min(h.bytes, smallBytes)
+	m.small.used += small
+	m.large.used += count - small
+	h.bytes += count
+}
+
+// evict makes a request give way.
+func (m *Memory) evict(h *Holding) {
+	m.drop(h)
+	h.evicted = true
+	m.reportRefusal()
 }
 
 // Evicted reports whether the request was evicted.
@@ -202,7 +252,7 @@
 func (h *Holding) Complete() {
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
-	delete(h.memory.reading, h)
+	delete(h.memory.pending, h)
 }
 
 // Release gives all bytes back.
@@ -229,7 +279,7 @@
 	m.refused++
 	if now := time.Now(); now.Sub(m.reportedAt) >= reportInterval {
 		m.options.Log.WithFields(logrus.Fields{
-			"refused": m.refused, "reading": len(m.reading), "small_bytes": m.small.used, "small_limit": m.small.size,
+			"refused": m.refused, "pending": len(m.pending), "small_bytes": m.small.used, "small_limit": m.small.size,
 			"large_bytes": m.large.used, "large_limit": m.large.size,
 		}).Warn("requests refused: the memory for those of clients is full")
 		m.refused, m.reportedAt = 0, now
--- a/internal/intake/memory_test.go
+++ b/internal/intake/memory_test.go
@@ -39,7 +39,7 @@
 			defer mu.Unlock()
 			gone++
 		})
-		h.Received(bytes)
+		h.Passed(bytes)
 		h.Grow(bytes)
 	}
 	return func() int {
@@ -57,7 +57,7 @@
 		time.Sleep(2 * time.Second)
 		slow := m.Hold(func() { t.Error("the slow request was evicted") })
 		for i := range 100 {
-			slow.Received(4 * kilobyte)
+			slow.Passed(4 * kilobyte)
 			assert.Assert(t, slow.Grow(4*kilobyte), "refused at %d", i)
 			time.Sleep(100 * time.Millisecond)
 		}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -284,6 +284,8 @@
 		return nil
 	}
 	defer func() { _ = r.answer.Body.Close() }()
+	// The rest may take as long as the caller reads.
+	r.body = nil
 	err := copyBody(sink, r.answer.Body)
 	if errors.Is(err, errBodyBroken) && ctx.Err() == nil {
 		j.recordConnectionLoss(r.server, true)
