--- a/internal/gateway/listproof.go
+++ b/internal/gateway/listproof.go
@@ -24,6 +24,9 @@
 	// listReportGrace is how long the reports of other hosts are awaited once the publisher has confirmed the
 	// list: they may know of servers that joined and left while this host was out of touch.
 	listReportGrace = 50 * time.Millisecond
+	// listConfirmTimeout limits the confirmation by other hosts. If they don't answer, this host asks the publisher
+	// itself, also in a large fleet.
+	listConfirmTimeout = 100 * time.Millisecond
 	// listConfirmers is how many other hosts are asked to confirm the list with the publisher.
 	listConfirmers = 3
 	// maxSilentAsked is how many hosts that were found to be silent may be asked in a large fleet.
@@ -92,15 +95,17 @@
 	})
 	confirmers = confirmers[:min(len(confirmers), listConfirmers)]
 	results := make(chan bool, len(confirmers))
+	confirming, cancel := context.WithTimeout(ctx, listConfirmTimeout)
+	defer cancel()
 	for _, m := range confirmers {
-		go func() { results <- n.gossip.Confirm(ctx, peerpb.Space_SPACE_HOSTS, []fleet.Member{m}) }()
+		go func() { results <- n.gossip.Confirm(confirming, peerpb.Space_SPACE_HOSTS, []fleet.Member{m}) }()
 	}
 	for range confirmers {
 		if <-results {
 			return proofConfirmer
 		}
 	}
-	if watches && n.listPoll.result(ctx, begun) {
+	if n.listPoll.result(ctx, begun) {
 		return proofPublisher
 	}
 	return proofNone
