review: case 8, a removed runner comes back through a machine that is behind

Shows that processes that start again take the entry of a runner that has left from a machine that is cut off from the store, though the list that they have read is newer, and send it requests (rule DRAIN).

--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -184,7 +184,7 @@
 func streamRequest(n *node, id string) request {
 	return request{
 		node: n, id: id, method: http.MethodPost, path: "/puxa400/2f", deadline: 6 * time.Second, body: strings.Repeat("a", 200),
-		headers: []string{"Model: m", "Token-Usage: 1460,72", "Prompt-Prefix: 5c1e07a2:800," + id + ":660"},
+		headers: []string{"Model: m", "Token-Usage: 1460,72", "Prompt-Prefix: 5c1e07" + id[len(id)-2:] + ":800," + id + ":660"},
 	}
 }
 
@@ -198,21 +198,28 @@
 
 const longTokens = 57190
 
-// load sends short streams from some callers, one after the other, until stop. It counts those that were answered.
-func (s *site) load(callers int, stop <-chan struct{}, answered *atomic.Int64) (wait func()) {
+// load sends short streams to some nodes from some callers, one after the other, until stop. It counts those that were
+// answered.
+func (s *site) load(callers int, nodes []*node, stop <-chan struct{}, answered *atomic.Int64) (wait func()) {
 	var all sync.WaitGroup
 	for i := range callers {
 		all.Go(func() {
+			// The callers don't send all at once.
+			time.Sleep(time.Duration(i) * 25 * time.Millisecond)
 			for k := 0; ; k++ {
 				select {
 				case <-stop:
 					return
 				default:
 				}
-				n := s.nodes[(i+k)%len(s.nodes)]
+				n := nodes[(i+k)%len(nodes)]
 				r := streamRequest(n, fmt.Sprintf("%08x%08x", 0xc000+i, k))
 				a := s.send(context.Background(), r)
 				s.line("caller gets %s from %s: status %d, whole %t, %d events", r.id, n.name, a.status, a.whole, len(events(a.body)))
+				if a.err != nil && a.status == 0 {
+					time.Sleep(50 * time.Millisecond)
+					continue
+				}
 				answered.Add(1)
 			}
 		})
--- a/review/rig2/late.go
+++ b/review/rig2/late.go
@@ -58,7 +58,7 @@
 	s.awaitReady()
 	time.Sleep(time.Second)
 	stop := make(chan struct{})
-	wait := s.load(lateLoad, stop, &answered)
+	wait := s.load(lateLoad, s.nodes, stop, &answered)
 	var broken atomic.Int64
 	var callers sync.WaitGroup
 	for c := range lateCallers {
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -5,10 +5,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -55,6 +58,64 @@
 	callers, entries, health, peer, metrics string
 	settings, log                           string
 	zone                                    string
+	// gate is its way to the store.
+	gate *gate
+}
+
+// gate is the way of one node to the store. While it is cut, nothing comes through in either direction.
+type gate struct {
+	store *store
+
+	mu sync.Mutex
+	// healed is closed when the gate is open again; nil while it is open.
+	healed chan struct{}
+}
+
+func (g *gate) cut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.healed = make(chan struct{})
+}
+
+func (g *gate) heal() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	close(g.healed)
+	g.healed = nil
+}
+
+// await waits while the gate is cut. It reports false if the caller has left.
+func (g *gate) await(ctx context.Context) bool {
+	for {
+		g.mu.Lock()
+		healed := g.healed
+		g.mu.Unlock()
+		if healed == nil {
+			return ctx.Err() == nil
+		}
+		select {
+		case <-healed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// ServeHTTP answers a call to the store. Calls that were under way when the gate was cut are answered after it has healed.
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !g.await(r.Context()) {
+		return
+	}
+	answer := httptest.NewRecorder()
+	g.store.ServeHTTP(answer, r)
+	if !g.await(r.Context()) {
+		return
+	}
+	for name, values := range answer.Header() {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(answer.Body.Bytes())
 }
 
 // site is a small deployment on loopback addresses.
@@ -70,10 +131,15 @@
 
 // freePort returns a loopback address that nothing listens on.
 func freePort() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	// The ports that the system gives to outgoing connections begin above.
+	for range 1000 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000)))
+		if err == nil {
+			_ = l.Close()
+			return l.Addr().String()
+		}
+	}
+	panic(cannotRun{errors.New("no free port")})
 }
 
 // newSite returns a site without nodes.
@@ -101,7 +167,6 @@
 
 // start starts nodes, one in each of the zones, with the settings that deploy/settings.ini gives.
 func (s *site) start(zones ...string) {
-	address := s.serve(s.store)
 	var seeds, regions []string
 	for i, zone := range zones {
 		n := &node{name: fmt.Sprintf("node-%d", i+1), zone: zone, callers: freePort(), entries: freePort(), health: freePort(), peer: freePort(), metrics: freePort()}
@@ -112,6 +177,8 @@
 		}
 	}
 	for _, n := range s.nodes {
+		n.gate = &gate{store: s.store}
+		address := s.serve(n.gate)
 		n.settings = filepath.Join(s.dir, n.name+".ini")
 		n.log = filepath.Join(s.dir, n.name+".log")
 		text := fmt.Sprintf(`[node]
--- a/review/rig2/twice.go
+++ b/review/rig2/twice.go
@@ -73,7 +73,7 @@
 	s.awaitReady()
 	time.Sleep(time.Second)
 	stop := make(chan struct{})
-	wait := s.load(twiceLoad, stop, &answered)
+	wait := s.load(twiceLoad, s.nodes, stop, &answered)
 	var callers sync.WaitGroup
 	for c := range twiceCallers {
 		callers.Go(func() {
