--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -1,3 +1,6 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
 //go:build review
 
 package main
@@ -24,14 +27,14 @@
 	pace   time.Duration
 	events int
 	// act, if it is set and returns true, has served the run in its own way.
-	act func(r *run1) bool
+	act func(r *engineRun) bool
 
 	mu   sync.Mutex
 	runs int
 }
 
-// run1 is one run of a stream.
-type run1 struct {
+// engineRun is one run of a stream.
+type engineRun struct {
 	engine *engine
 	conn   net.Conn
 	id     string
@@ -77,7 +80,7 @@
 	defer func() { _ = c.Close() }()
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	tokens, _, _ := strings.Cut(r.Header.Get("Token-Usage"), ",")
-	a := &run1{engine: e, conn: c, id: r.Header.Get("Attempt-Id"), after: after, gone: make(chan struct{})}
+	a := &engineRun{engine: e, conn: c, id: r.Header.Get("Attempt-Id"), after: after, gone: make(chan struct{})}
 	a.tokens, _ = strconv.Atoi(tokens)
 	go a.watch(buffered.Reader)
 	e.count(1)
@@ -93,12 +96,12 @@
 const tokensPerMs = 38.4
 
 // read reads the prompt. It reports false if the other end has left meanwhile.
-func (a *run1) read() bool {
+func (a *engineRun) read() bool {
 	return a.wait(20*time.Millisecond + time.Duration(float64(a.tokens)/tokensPerMs*float64(time.Millisecond)))
 }
 
 // serve serves a run as a sound engine does.
-func (a *run1) serve() {
+func (a *engineRun) serve() {
 	if !a.read() {
 		a.end()
 		return
@@ -115,13 +118,13 @@
 }
 
 // watch notices that the other end has closed the connection.
-func (a *run1) watch(r *bufio.Reader) {
+func (a *engineRun) watch(r *bufio.Reader) {
 	_, _ = io.Copy(io.Discard, r)
 	close(a.gone)
 }
 
 // left reports whether the other end has closed the connection. A run is dropped then.
-func (a *run1) left() bool {
+func (a *engineRun) left() bool {
 	select {
 	case <-a.gone:
 		return true
@@ -131,7 +134,7 @@
 }
 
 // wait works for a while. It reports false if the other end has left meanwhile.
-func (a *run1) wait(d time.Duration) bool {
+func (a *engineRun) wait(d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
@@ -143,7 +146,7 @@
 }
 
 // head writes the head of the answer.
-func (a *run1) head() {
+func (a *engineRun) head() {
 	a.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: " + a.id + "\r\nResponse-Signature: " + a.engine.id + "." + a.id + "\r\nTransfer-Encoding: chunked\r\n\r\n")
 }
 
@@ -156,12 +159,12 @@
 	return fmt.Sprintf("%x\r\n%s\r\n", len(content), content)
 }
 
-func (a *run1) write(text string) {
+func (a *engineRun) write(text string) {
 	_, _ = io.WriteString(a.conn, text)
 }
 
 // stream writes the events from one to another.
-func (a *run1) stream(from, to int) {
+func (a *engineRun) stream(from, to int) {
 	for n := from; n <= to && !a.left(); n++ {
 		a.write(chunk(event(n)))
 		if n < to && !a.wait(a.engine.pace) {
@@ -171,7 +174,7 @@
 }
 
 // end ends a whole answer.
-func (a *run1) end() {
+func (a *engineRun) end() {
 	if a.left() {
 		a.engine.site.line("%s drops %s: its channel was closed", a.engine.id, a.id)
 		return
--- a/review/rig2/late.go
+++ b/review/rig2/late.go
@@ -1,3 +1,6 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
 //go:build review
 
 package main
@@ -29,7 +32,7 @@
 	for i := range lateEngines {
 		e := newEngine(s, fmt.Sprintf("i-%d", i+1), zones[i%len(zones)])
 		all = e.allEvents()
-		e.act = func(a *run1) bool {
+		e.act = func(a *engineRun) bool {
 			if a.after > 0 || a.tokens != longTokens || !a.read() {
 				return false
 			}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -1,3 +1,6 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
 //go:build review
 
 // Command rig2 runs the cases of the second review: the project's own processes on loopback addresses, with small
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -1,3 +1,6 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
 //go:build review
 
 package main
@@ -46,7 +49,8 @@
 func (r *record) line(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.out, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+	// The record is for people; a case doesn't depend on it.
+	_, _ = fmt.Fprintf(r.out, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
 // node is one process of the project.
@@ -126,7 +130,6 @@
 	nodes  []*node
 	listen []net.Listener
 	binary string
-	config map[string]any
 }
 
 // freePort returns a loopback address that nothing listens on.
--- a/review/rig2/stale.go
+++ b/review/rig2/stale.go
@@ -1,3 +1,6 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
 //go:build review
 
 package main
@@ -35,7 +38,7 @@
 		if i > 0 {
 			continue
 		}
-		e.act = func(a *run1) bool {
+		e.act = func(a *engineRun) bool {
 			mu.Lock()
 			defer mu.Unlock()
 			arrivals = append(arrivals, arrival{time.Now(), a.id})
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -1,3 +1,6 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
 //go:build review
 
 package main
--- a/review/rig2/twice.go
+++ b/review/rig2/twice.go
@@ -1,3 +1,6 @@
+// Copyright 2026 The Wingvale Authors
+// SPDX-License-Identifier: Apache-2.0
+
 //go:build review
 
 package main
@@ -31,7 +34,7 @@
 	var mu sync.Mutex
 	var answered atomic.Int64
 	works := make(map[string]*work)
-	note := func(a *run1, f func(w *work, now time.Time)) {
+	note := func(a *engineRun, f func(w *work, now time.Time)) {
 		mu.Lock()
 		defer mu.Unlock()
 		if works[a.id] == nil {
@@ -42,7 +45,7 @@
 	zones := []string{"brisbane-hall", "ipswich-hall", "goldcoast-hall"}
 	for i := range 12 {
 		e := newEngine(s, fmt.Sprintf("i-%d", i+1), zones[i%len(zones)])
-		e.act = func(a *run1) bool {
+		e.act = func(a *engineRun) bool {
 			if a.tokens != longTokens {
 				return false
 			}
