--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -216,7 +216,8 @@
 				default:
 				}
 				n := nodes[(i+k)%len(nodes)]
-				r := streamRequest(n, fmt.Sprintf("%08x%08x", 0xc000+i, k))
+				// The last two digits name the shared part of the prompt.
+				r := streamRequest(n, fmt.Sprintf("%08x%06x%02x", 0xc000+i, k, (13*i+k)%256))
 				a := s.send(context.Background(), r)
 				s.line("caller gets %s from %s: status %d, whole %t, %d events", r.id, n.name, a.status, a.whole, len(events(a.body)))
 				if a.err != nil && a.status == 0 {
