--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -47,7 +47,7 @@
 // newEngine starts an engine and lists it.
 func newEngine(s *site, id, zone string) *engine {
 	e := &engine{site: s, id: id, pace: 25 * time.Millisecond, events: 24}
-	s.addServer(id, "model", s.serve(e), zone, "v1", 64)
+	s.addServer(id, "model", s.serve(e), zone, 64)
 	return e
 }
 
@@ -231,6 +231,17 @@
 	return all.Wait
 }
 
+// mustServe makes sure that the site serves an ordinary stream before the case begins.
+func (s *site) mustServe() {
+	for i, n := range s.nodes {
+		r := streamRequest(n, fmt.Sprintf("%016x", 0x9000+i))
+		if a := s.send(context.Background(), r); a.status != http.StatusOK || !a.whole {
+			panic(cannotRun{fmt.Errorf("%s does not serve an ordinary stream: status %d, %w", n.name, a.status, a.err)})
+		}
+	}
+	s.line("all nodes serve an ordinary stream")
+}
+
 // allEvents has the numbers of the events of a whole stream.
 func (e *engine) allEvents() []int {
 	list := make([]int, 0, e.events)
@@ -253,9 +264,9 @@
 }
 
 // streamConfig returns a configuration with one route of resumable streams, like the example of the wire.
-func streamConfig(version int) map[string]any {
+func streamConfig() map[string]any {
 	return map[string]any{
-		"version": version,
+		"version": 7,
 		"routes": []any{map[string]any{
 			"name": "r-stream", "hostname": hostName, "path_prefix": "/puxa400/", "kind": "stream", "timeout_ms": 6000, "target_latency_ms": 1100,
 			"priority": 0, "service": "model", "max_attempts": 2, "public": false, "sticky": true, "resumable": true, "gap_aim_ms": 200,
--- a/review/rig2/late.go
+++ b/review/rig2/late.go
@@ -56,10 +56,11 @@
 			return true
 		}
 	}
-	s.store.put("op/config", streamConfig(7))
+	s.store.put("op/config", streamConfig())
 	s.start(zones...)
 	s.awaitReady()
 	time.Sleep(time.Second)
+	s.mustServe()
 	stop := make(chan struct{})
 	wait := s.load(lateLoad, s.nodes, stop, &answered)
 	var broken atomic.Int64
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -162,9 +162,9 @@
 }
 
 // addServer lists a backend server.
-func (s *site) addServer(id, service, address, zone, version string, slots int) {
+func (s *site) addServer(id, service, address, zone string, slots int) {
 	s.store.put("servers/"+id, map[string]any{
-		"service": service, "address": address, "zone": zone, "version": version, "slots": slots, "state": "ready", "cold_left_ms": 0, "seq": 1,
+		"service": service, "address": address, "zone": zone, "version": "v1", "slots": slots, "state": "ready", "cold_left_ms": 0, "seq": 1,
 	})
 }
 
@@ -319,6 +319,11 @@
 	defer func() { _ = c.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
+	return s.exchange(c, bufio.NewReader(c), r)
+}
+
+// exchange sends a request on a connection and reads the answer.
+func (s *site) exchange(c net.Conn, reader *bufio.Reader, r request) answer {
 	_ = c.SetDeadline(time.Now().Add(r.deadline))
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\n", r.method, r.path, hostName, r.id, r.deadline.Milliseconds(), key)
 	for _, h := range r.headers {
@@ -330,7 +335,7 @@
 	if _, err := io.WriteString(c, text+"\r\n"+r.body); err != nil {
 		return answer{err: err}
 	}
-	response, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: r.method})
+	response, err := http.ReadResponse(reader, &http.Request{Method: r.method})
 	if err != nil {
 		return answer{err: err}
 	}
--- a/review/rig2/stale.go
+++ b/review/rig2/stale.go
@@ -45,10 +45,11 @@
 			return false
 		}
 	}
-	s.store.put("op/config", streamConfig(7))
+	s.store.put("op/config", streamConfig())
 	s.start(zones...)
 	s.awaitReady()
 	time.Sleep(3 * time.Second)
+	s.mustServe()
 	cutOff, others := s.nodes[0], s.nodes[1:]
 	stop := make(chan struct{})
 	var answered atomic.Int64
--- a/review/rig2/twice.go
+++ b/review/rig2/twice.go
@@ -71,10 +71,11 @@
 			return true
 		}
 	}
-	s.store.put("op/config", streamConfig(7))
+	s.store.put("op/config", streamConfig())
 	s.start(zones...)
 	s.awaitReady()
 	time.Sleep(time.Second)
+	s.mustServe()
 	stop := make(chan struct{})
 	wait := s.load(twiceLoad, s.nodes, stop, &answered)
 	var callers sync.WaitGroup
