--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -231,6 +231,59 @@
 	return all.Wait
 }
 
+// garble is the dose of a garble of the platform: for so long at a time, so much of the answers of the servers that
+// it strikes.
+type garble struct {
+	length, pause time.Duration
+	share         float64
+
+	mu      sync.Mutex
+	began   time.Time
+	answers int
+	cut     int
+	// windowAnswers and windowCut are those of the present window, and window is its number.
+	windowAnswers, windowCut, window int
+}
+
+// newGarble returns a dose whose first window begins now.
+func newGarble(length, pause time.Duration, share float64) *garble {
+	return &garble{length: length, pause: pause, share: share, began: time.Now()}
+}
+
+// enter counts in the window that a moment is in. It reports false between two windows. The mutex must be held.
+func (g *garble) enter() bool {
+	since := time.Since(g.began)
+	if window := int(since / (g.length + g.pause)); window != g.window {
+		g.window, g.windowAnswers, g.windowCut = window, 0, 0
+	}
+	return since%(g.length+g.pause) < g.length
+}
+
+// answered counts an answer of a server that the garble strikes.
+func (g *garble) answered() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.enter() {
+		g.answers++
+		g.windowAnswers++
+	}
+}
+
+// strikes reports whether an answer is cut off: within a window, and only while the share allows one more, in this
+// window and over all.
+func (g *garble) strikes() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.enter() || float64(g.windowCut+1) > g.share*float64(g.windowAnswers+1) {
+		return false
+	}
+	g.answers++
+	g.windowAnswers++
+	g.cut++
+	g.windowCut++
+	return true
+}
+
 // mustServe makes sure that the site serves an ordinary stream before the case begins.
 func (s *site) mustServe() {
 	for i, n := range s.nodes {
--- a/review/rig2/late.go
+++ b/review/rig2/late.go
@@ -20,13 +20,15 @@
 	// lateEngines is how many engines there are, and lateFaulty how many of them break answers off: a third.
 	lateEngines, lateFaulty = 12, 4
 	// lateCallers send streams with long prompts, lateStreams each, and lateLoad others with short ones.
-	lateCallers, lateStreams, lateLoad = 3, 10, 16
+	lateCallers, lateStreams, lateLoad = 5, 12, 40
 )
 
 // late: engines preempt streams with long prompts and read them anew. Some of the engines then break the answer off,
 // between two events of one chunk.
 func late(s *site, trouble bool) bool {
-	var cut, answered atomic.Int64
+	var answered atomic.Int64
+	// A third of the engines cut off 0.02 of their answers, 5.5 s at a time.
+	dose := newGarble(5500*time.Millisecond, 2*time.Second, 0.02)
 	var all []int
 	zones := []string{"brisbane-hall", "ipswich-hall", "goldcoast-hall"}
 	for i := range lateEngines {
@@ -34,6 +36,9 @@
 		all = e.allEvents()
 		e.act = func(a *engineRun) bool {
 			if a.after > 0 || a.tokens != longTokens || !a.read() {
+				if i < lateFaulty {
+					dose.answered()
+				}
 				return false
 			}
 			a.head()
@@ -44,12 +49,14 @@
 				return true
 			}
 			three := chunk(event(6) + event(7) + event(8))
-			if trouble && i < lateFaulty {
+			if trouble && i < lateFaulty && dose.strikes() {
 				a.write(three[:len(three)-len(event(8))-len("\r\n")])
-				cut.Add(1)
 				s.line("%s breaks %s off after event 7 of %d", e.id, a.id, e.events)
 				return true
 			}
+			if i < lateFaulty {
+				dose.answered()
+			}
 			a.write(three)
 			a.stream(9, e.events)
 			a.end()
@@ -85,7 +92,7 @@
 	callers.Wait()
 	close(stop)
 	wait()
-	s.line("%d answers to streams, %d of them broken off by their engines", answered.Load(), cut.Load())
+	s.line("%d answers to streams; %d of the faulty engines' %d answers within the windows of trouble were broken off", answered.Load(), dose.cut, dose.answers)
 	s.line("%d streams ended as complete before their last piece", broken.Load())
 	return broken.Load() > 0
 }
--- a/review/rig2/lost.go
+++ b/review/rig2/lost.go
@@ -20,7 +20,7 @@
 	// lostEngines is how many engines there are, and lostFaulty how many of them break answers off: a half.
 	lostEngines, lostFaulty = 12, 6
 	// lostCallers send streams with long prompts on kept channels, lostStreams each, and lostLoad others with short ones.
-	lostCallers, lostStreams, lostLoad = 3, 10, 16
+	lostCallers, lostStreams, lostLoad = 6, 14, 40
 	// lostAllowed is how often the rule lets it happen.
 	lostAllowed = 3
 )
@@ -62,20 +62,25 @@
 // lost: engines preempt streams with long prompts, read them anew and go on. Some of the engines break the answer off
 // after that.
 func lost(s *site, trouble bool) bool {
-	var cut, answered atomic.Int64
+	var answered atomic.Int64
+	// A half of the engines cut off 0.03 of their answers, 5 s at a time.
+	dose := newGarble(5*time.Second, 2*time.Second, 0.03)
 	var mu sync.Mutex
-	// second has the engine that got a stream to go on with it.
+	// second has the sound engine that got a stream to go on with it.
 	second := make(map[string]string)
 	zones := []string{"brisbane-hall", "ipswich-hall", "goldcoast-hall"}
 	for i := range lostEngines {
 		e := newEngine(s, fmt.Sprintf("i-%d", i+1), zones[i%len(zones)])
 		e.act = func(a *engineRun) bool {
-			if a.after > 0 {
+			if a.after > 0 && i >= lostFaulty {
 				mu.Lock()
 				second[a.id] = e.id
 				mu.Unlock()
 			}
 			if a.after > 0 || a.tokens != longTokens || !a.read() {
+				if i < lostFaulty {
+					dose.answered()
+				}
 				return false
 			}
 			a.head()
@@ -85,14 +90,16 @@
 				a.end()
 				return true
 			}
-			if trouble && i < lostFaulty {
-				a.stream(6, 16)
+			a.stream(6, 16)
+			if trouble && i < lostFaulty && dose.strikes() {
 				a.write(chunk(event(17))[:12])
-				cut.Add(1)
 				s.line("%s breaks %s off within event 17 of %d", e.id, a.id, e.events)
 				return true
 			}
-			a.stream(6, e.events)
+			if i < lostFaulty {
+				dose.answered()
+			}
+			a.stream(17, e.events)
 			a.end()
 			return true
 		}
@@ -130,7 +137,7 @@
 	callers.Wait()
 	close(stop)
 	wait()
-	s.line("%d answers to streams, %d of them broken off by their engines", answered.Load(), cut.Load())
+	s.line("%d answers to streams; %d of the faulty engines' %d answers within the windows of trouble were broken off", answered.Load(), dose.cut, dose.answers)
 	s.line("%d channels were closed without a whole answer though a sound engine had got the stream; %d are allowed", broken.Load(), lostAllowed)
 	return broken.Load() > lostAllowed
 }
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -221,6 +221,8 @@
 	n.command = exec.Command(s.binary, "platform")
 	n.command.Env = append(os.Environ(), "WINGVALE_SETTINGS="+n.settings)
 	n.command.Stdout, n.command.Stderr = log, log
+	// The process ends with the case, however that ends.
+	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	must(n.command.Start())
 	exited := make(chan struct{})
 	n.exited = exited
--- a/review/rig2/stale.go
+++ b/review/rig2/stale.go
@@ -24,7 +24,8 @@
 	drainTimeout = 2 * time.Second
 )
 
-// stale: a server leaves the list while one node is cut off from the store and the others are killed and start again.
+// stale: a server leaves the list while one of two nodes is cut off from the store and the other is killed and starts
+// again.
 func stale(s *site, trouble bool) bool {
 	zones := []string{"brisbane-hall", "ipswich-hall", "goldcoast-hall"}
 	var mu sync.Mutex
@@ -46,7 +47,7 @@
 		}
 	}
 	s.store.put("op/config", streamConfig())
-	s.start(zones...)
+	s.start(zones[:2]...)
 	s.awaitReady()
 	time.Sleep(3 * time.Second)
 	s.mustServe()
