relay, exchange: keep the error that comes together with late events

Callers got a 200 with a part of a stream and a proper end. Their engine had broken off within a chunk, after a silence for which a second engine had been asked.

Cause: the read that returned the late events also returned io.ErrUnexpectedEOF. copyEvents held the events and read on without looking at the error, and the body returned io.EOF for each read after its first error, which was taken for the end of a whole answer; the second run was ended and the held events were forwarded.

Change: a body keeps its first error and returns it from then on, also after Close, so that io.EOF says that the framing has ended. copyEvents looks at the error of each read, and events that come with a break are left to the second engine: nothing can follow them. The log line of dropped events names the error and the framing.

TestBrokenBodyEndsAsCompleteAtNextRead, TestClosedBodyEndsAsComplete, TestStreamBrokenWithinChunkLooksComplete and TestBreakWithEventsEndsSecondRun fail before the change. TestLastEventsAreDroppedWithEndOfBody passes before and after: last events that come with the end of a whole body still arrive.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -264,24 +264,28 @@
 	reader   io.ReadCloser
 	header   http.Header
 	reusable bool
-	done     bool
+	// err is how the body ended; nil while it goes on. It is io.EOF only if the framing says that the body is whole.
+	err error
 	// held reports whether the body was read to its clean end and the answer was not accepted yet.
 	held bool
 }
 
-// Read reads from the body. At its end, the connection is returned to the pool if it can
+// errClosed is returned by reads from a body that was closed before its end.
+var errClosed = errors.New("exchange: read from a closed body")
+
+// Read reads from the body. Bytes and an error may come together, and every later call returns that error again. At its end, the connection is returned to the pool if it can
 // be reused: the end of the answer was marked by its length or chunked encoding, the
 // request was written whole, and no further data has arrived.
 func (b *body) Read(buffer []byte) (int, error) {
-	if b.done {
-		return 0, io.EOF
+	if b.err != nil {
+		return 0, b.err
 	}
 	n, err := b.reader.Read(buffer)
 	if err == nil {
 		return n, nil
 	}
 	e := b.exchange
-	b.done = true
+	b.err = err
 	if !errors.Is(err, io.EOF) || !b.reusable || !e.requestWritten() || e.conn.reader.Buffered() > 0 || !e.stop() {
 		e.abandon()
 		return n, err
@@ -300,8 +304,8 @@
 		b.held = false
 		_ = b.exchange.conn.Close()
 	}
-	if !b.done {
-		b.done = true
+	if b.err == nil {
+		b.err = errClosed
 		b.exchange.abandon()
 	}
 	return nil
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -258,6 +258,47 @@
 // buffer of some 4 MiB, and if it is written whole before the end of the answer is read,
 // the connection is reused. If the server then closes it unread, the next request fails
 // with "io: read/write on closed pipe", which TestEarlyAnswerToBufferedRequest covers.
+// A body that was broken off ended as complete at the second read after it: only the first one returned its error.
+func TestBrokenBodyEndsAsCompleteAtNextRead(t *testing.T) {
+	for name, answer := range map[string]string{
+		"inside a body of stated length": "Content-Length: 10\r\n\r\nabc",
+		"inside a chunk":                 "Transfer-Encoding: chunked\r\n\r\n9\r\nabc",
+		"between chunks":                 "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"invalid chunk":                  "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nx\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pool, _ := serve(t, func(conn net.Conn, r *bufio.Reader) {
+					_, _ = request(r)
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n"+answer)
+				})
+				a, err := pool.Do(t.Context(), get("1"))
+				assert.NilError(t, err)
+				body, first := io.ReadAll(a.Body)
+				assert.Equal(t, string(body), "abc")
+				assert.Assert(t, first != nil)
+				_, second := a.Body.Read(make([]byte, 1))
+				assert.Equal(t, second, first)
+			})
+		})
+	}
+}
+
+// A body that was closed before its end looked complete to a read after it.
+func TestClosedBodyEndsAsComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool, _ := serve(t, func(conn net.Conn, r *bufio.Reader) {
+			_, _ = request(r)
+			_, _ = io.WriteString(conn, answer("1", "abc"))
+		})
+		a, err := pool.Do(t.Context(), get("1"))
+		assert.NilError(t, err)
+		assert.NilError(t, a.Body.Close())
+		_, err = a.Body.Read(make([]byte, 1))
+		assert.Assert(t, err != nil && !errors.Is(err, io.EOF), "%v", err)
+	})
+}
+
 func TestEarlyAnswerToPartlyWrittenRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		pool, opened := serve(t, func(conn net.Conn, _ *bufio.Reader) {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -205,7 +205,7 @@
 		return s.passErrorAnswer(a, answer)
 	}
 	first, err := s.passAnswer(a, answer)
-	s.logHeld(a)
+	s.logHeld(a, answer.Framing, err)
 	took := time.Duration(0)
 	if !first.IsZero() {
 		took = first.Sub(began)
--- a/internal/relay/late.go
+++ b/internal/relay/late.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/wingvale/wingvale/internal/exchange"
 )
 
 // lateEventDelay is how long the late events of a silent engine are held while a second engine works on the
@@ -16,11 +18,19 @@
 
 // hold keeps events of an engine that was silent until it sends more after lateEventDelay, which shows that it
 // still works on the stream, so that a second engine isn't ended for bytes that were on their way. The second
-// engine's events are those of another run: they can't follow these. It reports whether the events are held.
-func (s *stream) hold(a *attempt, now time.Time, events []byte) bool {
+// engine's events are those of another run: they can't follow these. broken means that the answer broke off right
+// behind the events; nothing follows them then. It reports whether the events are held.
+func (s *stream) hold(a *attempt, now time.Time, events []byte, broken bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !a.hedged || a.superseded || !s.secondWorks(a) || len(a.held)+len(events) > maxBufferedBody {
+	if !a.hedged || a.superseded || !s.secondWorks(a) {
+		return false
+	}
+	if broken {
+		a.held = append(a.held, events...)
+		return true
+	}
+	if len(a.held)+len(events) > maxBufferedBody {
 		return false
 	}
 	if a.heldAt.IsZero() {
@@ -70,14 +80,14 @@
 	return slices.ContainsFunc(s.attempts, func(other *attempt) bool { return other != a && other.begun && !other.superseded })
 }
 
-// logHeld logs that an attempt has ended before its late events were forwarded.
-func (s *stream) logHeld(a *attempt) {
+// logHeld logs that an attempt has ended with err before its late events were forwarded.
+func (s *stream) logHeld(a *attempt, framing exchange.Framing, err error) {
 	if len(a.held) == 0 {
 		return
 	}
 	s.mu.Lock()
-	fields := logrus.Fields{"server": a.engine.Instance, "after_event": s.splitter.lastID, "last_event": a.splitter.lastID, "second_works": s.secondWorks(a)}
+	fields := logrus.Fields{"server": a.engine.Instance, "after_event": s.splitter.lastID, "last_event": a.splitter.lastID, "second_works": s.secondWorks(a), "framing": framing.String()}
 	s.mu.Unlock()
 	s.job.core.scope.Counter("late_events_dropped").Inc(1)
-	s.job.log.WithFields(fields).Info("late events of a silent backend server dropped")
+	s.job.log.WithFields(fields).WithError(err).Info("late events of a silent backend server dropped")
 }
--- a/internal/relay/late_test.go
+++ b/internal/relay/late_test.go
@@ -219,3 +219,51 @@
 		})
 	}
 }
+
+// A stream ended as complete with half of its events: the error of a read that also returned late events was dropped,
+// and the next read reported the end of the body.
+func TestStreamBrokenWithinChunkLooksComplete(t *testing.T) {
+	t.Parallel()
+	for _, events := range eventsBefore {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprint(events, " events, reset ", reset), func(t *testing.T) {
+				t.Parallel()
+				serveSilent(t, events, 900*time.Millisecond, func(w io.Writer) bool {
+					part := eventStream(events+1, events+2, "\n")
+					_, _ = fmt.Fprintf(w, "%x\r\n%s", 2*len(part), part)
+					return reset
+				})
+			})
+		}
+	}
+}
+
+// A stream was broken off because a server that broke off had sent events for longer than they are held.
+func TestBreakWithEventsEndsSecondRun(t *testing.T) {
+	t.Parallel()
+	const events = 3
+	serveSilent(t, events, 900*time.Millisecond, func(w io.Writer) bool {
+		writeEvents(w, events+1, events+1, 150*time.Millisecond)
+		part := eventStream(events+2, events+3, "\n")
+		_, _ = fmt.Fprintf(w, "%x\r\n%s", 2*len(part), part)
+		return false
+	})
+}
+
+// The last events of a slow server were dropped because they came together with the end of the body.
+func TestLastEventsAreDroppedWithEndOfBody(t *testing.T) {
+	t.Parallel()
+	for _, events := range eventsBefore {
+		t.Run(fmt.Sprint(events, " events"), func(t *testing.T) {
+			t.Parallel()
+			var finished atomic.Bool
+			serveSilent(t, events, 3500*time.Millisecond, func(w io.Writer) bool {
+				rest := eventStream(events+1, lateStreamEvents, "\n")
+				_, _ = fmt.Fprintf(w, "%x\r\n%s\r\n0\r\n\r\n", len(rest), rest)
+				finished.Store(true)
+				return false
+			})
+			assert.Assert(t, finished.Load())
+		})
+	}
+}
--- a/internal/relay/stream_answer.go
+++ b/internal/relay/stream_answer.go
@@ -130,6 +130,7 @@
 	reader := &watchedReader{reader: answer.Body, watchdog: a.watch}
 	for {
 		n, err := reader.Read(buffer)
+		broken := err != nil && !errors.Is(err, io.EOF)
 		if n > 0 {
 			before := a.splitter.events
 			if whole := a.splitter.split(buffer[:n]); len(whole) > 0 {
@@ -139,20 +140,18 @@
 					a.flight.answered.Store(true)
 				}
 				a.gaps.add(now, a.splitter.events-before)
-				if s.hold(a, now, whole) {
-					continue
-				}
-				if err := s.forward(a, answer, whole); err != nil {
-					return first, err
+				if !s.hold(a, now, whole, broken) {
+					if err := s.forward(a, answer, whole); err != nil {
+						return first, err
+					}
 				}
 			}
 		}
 		switch {
-		case err == nil:
-		case errors.Is(err, io.EOF):
-			return first, s.finishAnswer(a, answer)
-		default:
+		case broken:
 			return first, verdict.New(verdict.Unknown, verdict.ReasonConnection, "%w: %w", errStreamBroken, err)
+		case err != nil:
+			return first, s.finishAnswer(a, answer)
 		}
 	}
 }
