platform, relay, stagepool: bound the pieces of a request

Callers lost their requests because processes ended by their memory: one small request with Pieces: made its host plan that many pieces.

Cause: the numbers in Pieces were turned into memory as they stood. Nothing bounded them where the request was decoded, the memory for requests counts only the bytes that callers send, and a pool's owner checked its bound after the work was planned.

The bound also holds for requests of other hosts and at the owners of pools.

--- a/internal/handover/frame_test.go
+++ b/internal/handover/frame_test.go
@@ -17,6 +17,7 @@
 	"github.com/wingvale/wingvale/internal/handover"
 	"github.com/wingvale/wingvale/internal/option"
 	"github.com/wingvale/wingvale/internal/relay"
+	"github.com/wingvale/wingvale/internal/stageplan"
 )
 
 // recorder is a sink that records an answer.
@@ -157,3 +158,16 @@
 		assert.DeepEqual(t, got, r)
 	})
 }
+
+// A host planned any number of pieces of a request that another one handed over.
+func TestRequestWithTooManyPiecesIsAccepted(t *testing.T) {
+	now := time.Now()
+	for _, pieces := range [][]int{{stageplan.MaxPieces + 1}, {stageplan.MaxPieces, 1}, {-1}} {
+		sent := newRequest(now)
+		sent.Pieces = pieces
+		wire, err := handover.EncodeRequest(sent, now)
+		assert.NilError(t, err)
+		_, err = handover.DecodeRequest(bytes.NewReader(wire), now)
+		assert.ErrorContains(t, err, "pieces")
+	}
+}
--- a/internal/handover/wire.go
+++ b/internal/handover/wire.go
@@ -161,10 +161,8 @@
 	case e.BodyBytes < 0 || e.BodyBytes > maxBodyBytes:
 		return fmt.Errorf("handover: a body of %d bytes", e.BodyBytes)
 	}
-	for _, n := range e.Pieces {
-		if n < 0 {
-			return fmt.Errorf("handover: %d pieces", n)
-		}
+	if _, err := relay.CountPieces(e.Pieces); err != nil {
+		return fmt.Errorf("handover: %w", err)
 	}
 	return nil
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -4,12 +4,14 @@
 package relay
 
 import (
+	"fmt"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/wingvale/wingvale/internal/notice"
 	"github.com/wingvale/wingvale/internal/option"
+	"github.com/wingvale/wingvale/internal/stageplan"
 )
 
 // Request is a caller's request.
@@ -40,7 +42,7 @@
 	// LengthHint is the caller's estimate of the answer's size in tokens, 0 if it gave none. It
 	// may be far off.
 	LengthHint int
-	// Pieces holds the number of pieces of each stage; stages beyond its end have one.
+	// Pieces holds the number of pieces of each stage; stages beyond its end have one. CountPieces accepts it.
 	Pieces []int
 	// PieceKey identifies the input of the first stages.
 	PieceKey string
@@ -72,6 +74,21 @@
 	Tokens int
 }
 
+// CountPieces returns the number of pieces in all stages. The error says why a request can't have them.
+func CountPieces(pieces []int) (int, error) {
+	total := 0
+	for stage, n := range pieces {
+		if n < 0 {
+			return 0, fmt.Errorf("relay: stage %d has %d pieces", stage, n)
+		}
+		if n > stageplan.MaxPieces-total {
+			return 0, fmt.Errorf("relay: more than %d pieces in stages 0 to %d", stageplan.MaxPieces, stage)
+		}
+		total += n
+	}
+	return total, nil
+}
+
 // pieceCount returns the number of pieces of a stage.
 func (r *Request) pieceCount(stage int) int {
 	if stage < len(r.Pieces) {
--- a/internal/stageplan/work.go
+++ b/internal/stageplan/work.go
@@ -45,6 +45,14 @@
 	Evacuated bool
 }
 
+// MaxPieces is the most pieces of one request, in all its stages. The messages of a piece name the results of all
+// pieces before it, so that what one request occupies grows with the square of its pieces.
+const MaxPieces = 1024
+
+// PieceBytes is about what a piece occupies on a host that plans it: its place in the queue, its result, and
+// the messages that carry both.
+const PieceBytes = 512
+
 // Work is one stage of one request.
 type Work struct {
 	Service string
--- a/internal/stagepool/export_test.go
+++ b/internal/stagepool/export_test.go
@@ -60,3 +60,12 @@
 
 // TimesFromMessage returns the times that an owner states.
 func TimesFromMessage(m *stagepb.RunReply) stageplan.Times { return timesFromMessage(m) }
+
+// MostHeld returns the most pieces that the pools of a host hold.
+func MostHeld(groups []*Group) int {
+	most := 0
+	for _, g := range groups {
+		most = max(most, g.pieces.count())
+	}
+	return most
+}
--- a/internal/stagepool/group.go
+++ b/internal/stagepool/group.go
@@ -68,8 +68,9 @@
 	specs map[string]stageplan.Spec
 	// services holds the servers of each service.
 	services map[string]*serviceServers
-	// backlogs is not guarded by mu; it has its own mutex.
+	// backlogs and pieces are not guarded by mu; they have their own mutexes.
 	backlogs *backlogCache
+	pieces   pieceLimit
 }
 
 // New returns a group without services. Its calls are cancelled when ctx is done.
@@ -231,6 +232,13 @@
 	if pool == nil {
 		return Answer{Failure: stageplan.FailureFailed}
 	}
+	if !g.pieces.take(len(w.Pieces)) {
+		g.options.Scope.Counter("work_refused").Inc(1)
+		g.options.Log.WithFields(logrus.Fields{"pool": shard, "request": w.Request, "pieces": len(w.Pieces), "held": g.pieces.count()}).
+			Info("stage work refused: too many pieces at this host")
+		return Answer{Failure: stageplan.FailureFull, Wait: g.updateBacklog(shard, pool).Waits.Longest(), Owner: g.options.Self}
+	}
+	defer g.pieces.put(len(w.Pieces))
 	answer := pool.run(ctx, w)
 	answer.Wait, answer.Owner = g.updateBacklog(shard, pool).Waits.Longest(), g.options.Self
 	return answer
--- a/internal/stagepool/service.go
+++ b/internal/stagepool/service.go
@@ -17,13 +17,8 @@
 	"github.com/wingvale/wingvale/internal/stagepool/stagepb"
 )
 
-const (
-	// maxPieces is the most pieces in one RunRequest.
-	maxPieces = 4096
-	// maxStatedTime is the longest time in one RunReply that is accepted. No request is held that
-	// long.
-	maxStatedTime = time.Hour
-)
+// maxStatedTime is the longest time in one RunReply that is accepted. No request is held that long.
+const maxStatedTime = time.Hour
 
 // Handler returns the path prefix and the handler of the RPCs from other hosts.
 func (g *Group) Handler() (string, http.Handler) {
@@ -36,10 +31,10 @@
 // Run executes pieces for another host. It never forwards them, even if this host's own
 // view names another owner: forwarding could loop.
 func (s *service) Run(ctx context.Context, in *stagepb.RunRequest) (*stagepb.RunReply, error) {
-	w := workFromMessage(time.Now(), in)
-	if len(w.Pieces) == 0 || len(w.Pieces) > maxPieces {
-		return nil, twirp.InvalidArgumentError("pieces", "want 1 to 4096")
+	if n := len(in.GetPieces()); n == 0 || n > stageplan.MaxPieces {
+		return nil, twirp.InvalidArgumentError("pieces", fmt.Sprintf("want 1 to %d", stageplan.MaxPieces))
 	}
+	w := workFromMessage(time.Now(), in)
 	s.g.backlogs.merge(time.Now(), in.GetBacklogs())
 	a := s.g.runLocally(ctx, in.GetShard(), w)
 	return &stagepb.RunReply{
@@ -113,7 +108,7 @@
 	}
 	for _, l := range m.GetNext()[:min(len(m.GetNext()), maxNext)] {
 		// No request has more pieces than this. A wrong figure would add to what all others announce.
-		if pieces := l.GetPieces(); pieces > 0 && pieces <= maxPieces {
+		if pieces := l.GetPieces(); pieces > 0 && pieces <= stageplan.MaxPieces {
 			w.Next = append(w.Next, stageplan.Load{Service: l.GetService(), Pieces: int(pieces)})
 		}
 	}
