published, peer: don't take removed entries from peers

Callers' requests reached a server for more than 4 s after its entry had gone, sent by a host that had started since and reached the store all the while.

Cause: removals were remembered only for keys that a process had held. A process that had read a whole list took a key that is not in it from a peer that was cut off from the store, though the list says that the key has no entry at its revision. For the same reason that peer counted itself complete after it had compared its list with one that lacked the key.

Change: an entry that a peer holds is not taken if its key isn't held and every key up to a later position is. What is read from the service is always taken, and so are values with a sequence, keys whose newest value was rejected, and all entries before a list of the current era was read. A list and its position come into force in one step, and pushed changes no longer claim ranges with gaps or without their large entries, since positions now decide more.

TestStartedHostUsesRemovedServer fails before with 30 and 39 of 96 requests at the server that has left, and passes after; its host that is cut off still learns of a new server from its peers.

--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -175,6 +175,5 @@
 		return false
 	}
 	n.applyAndSpread(publisher.SpaceConfiguration, n.directives.OfferListing(values.Listing()))
-	n.directives.Complete(values.Position())
 	return true
 }
--- a/internal/gateway/listproof.go
+++ b/internal/gateway/listproof.go
@@ -149,7 +149,6 @@
 		return false
 	}
 	n.applyWatched(publisher.SpaceHosts, n.listed.OfferListing(values.Listing()))
-	n.listed.Complete(values.Position())
 	return true
 }
 
--- a/internal/peer/bulk.go
+++ b/internal/peer/bulk.go
@@ -166,7 +166,7 @@
 			if err != nil {
 				return err
 			}
-			if accepted := store.Offer(entries...); len(accepted) > 0 {
+			if accepted := store.OfferRelayed(entries...); len(accepted) > 0 {
 				g.options.Accepted(space, accepted)
 			}
 			fetched = append(fetched, m.GetPart())
--- a/internal/peer/direct.go
+++ b/internal/peer/direct.go
@@ -36,7 +36,7 @@
 	sending        bool
 }
 
-// Changes are all small changes of a space after position After up to Through, which are of one
+// Changes are all changes of a space after position After up to Through, which are of one
 // era. If both are zero, the changes are not known to be all.
 type Changes struct {
 	After   published.Position
@@ -44,6 +44,15 @@
 	Entries []published.Entry
 }
 
+// withoutLarge returns the small changes, which are no longer all if there were others.
+func (c Changes) withoutLarge() Changes {
+	small := slices.DeleteFunc(slices.Clone(c.Entries), func(e published.Entry) bool { return e.Version().Large() })
+	if len(small) < len(c.Entries) {
+		return Changes{Entries: small}
+	}
+	return Changes{After: c.After, Through: c.Through, Entries: small}
+}
+
 // add queues changes and reports whether the caller must start to send.
 func (q *changeQueue) add(c Changes) bool {
 	q.mu.Lock()
@@ -53,7 +62,8 @@
 	}
 	switch {
 	case c.Through.IsZero() || c.Through.Era < q.through.Era:
-	case q.through.IsZero() || c.Through.Era > q.through.Era:
+	case q.through.IsZero() || c.Through.Era > q.through.Era || c.After.Compare(q.through) > 0:
+		// Changes between two ranges are not in the queue, so that it has only one of them whole.
 		q.after, q.through = c.After, c.Through
 	case c.Through.Compare(q.through) > 0:
 		q.through = c.Through
@@ -88,7 +98,7 @@
 // by heartbeat.
 func (g *Gossip) PushChanges(space peerpb.Space, c Changes, watchers []fleet.Member) {
 	q := g.changeQueues[space]
-	c.Entries = slices.DeleteFunc(slices.Clone(c.Entries), func(e published.Entry) bool { return e.Version().Large() })
+	c = c.withoutLarge()
 	if q == nil || len(c.Entries) == 0 || !q.add(c) {
 		return
 	}
--- a/internal/peer/pull.go
+++ b/internal/peer/pull.go
@@ -150,7 +150,7 @@
 		g.options.Log.WithField("peer", from.peer).WithField("key", p.key).WithField("revision", entry.Revision).
 			WithField("bytes", len(entry.Data)).WithField("sent_bytes", size).WithField("took_ms", time.Since(startedAt).Milliseconds()).
 			WithField("known_ms", time.Since(p.advertisedAt).Milliseconds()).Info("pulled published value from peer")
-		g.handleAccepted(p.space, store.Offer(entry))
+		g.handleAccepted(p.space, store.OfferRelayed(entry))
 	}
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -109,7 +109,7 @@
 		}
 		entries = append(entries, packed...)
 	}
-	accepted := store.Offer(entries...)
+	accepted := store.OfferRelayed(entries...)
 	if in.GetDirect() {
 		store.Covered(in.GetEra(), in.GetAfter(), in.GetThrough())
 	}
--- a/internal/peer/space.go
+++ b/internal/peer/space.go
@@ -22,7 +22,8 @@
 	Entry(key string) (published.Entry, bool)
 	EntryOf(key string, version published.Version) (published.Entry, bool)
 	Lacks(key string, version published.Version) bool
-	Offer(entries ...published.Entry) []published.Entry
+	HoldsRemoved(sums []uint64, versions map[string]published.Version, through published.Position) bool
+	OfferRelayed(entries ...published.Entry) []published.Entry
 	Complete(through published.Position)
 	Covered(era, after, through uint64)
 }
--- a/internal/peer/synchronise.go
+++ b/internal/peer/synchronise.go
@@ -140,8 +140,9 @@
 	if err != nil {
 		return pulls, err
 	}
-	if !lacksAny(store, lacking) {
-		store.Complete(published.Position{Era: reply.GetEra(), Revision: reply.GetThrough()})
+	through := published.Position{Era: reply.GetEra(), Revision: reply.GetThrough()}
+	if !lacksAny(store, lacking) && !store.HoldsRemoved(reply.GetSums(), versions, through) {
+		store.Complete(through)
 	}
 	return pulls, g.offerEntries(ctx, address, space, newer)
 }
@@ -216,7 +217,7 @@
 		return err
 	}
 	entries := decodeEntries(reply.GetEntries())
-	if accepted := store.Offer(entries...); len(accepted) > 0 {
+	if accepted := store.OfferRelayed(entries...); len(accepted) > 0 {
 		g.options.Accepted(space, accepted)
 		if readvertise {
 			g.queueSpread(space, accepted, true)
--- a/internal/published/snapshot.go
+++ b/internal/published/snapshot.go
@@ -143,6 +143,8 @@
 	Revisions map[string]uint64 `json:"revisions"`
 	Rejected  []Rejection       `json:"rejected,omitempty"`
 	Conflicts int               `json:"conflicts"`
+	// Outdated counts the entries of peers that were not taken because the service had removed them.
+	Outdated int `json:"outdated"`
 }
 
 // State returns a dump of at most limit keys, in order.
@@ -151,7 +153,7 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	state.Keys = len(s.held)
-	state.Conflicts = s.conflicts
+	state.Conflicts, state.Outdated = s.conflicts, s.outdated
 	for _, key := range slices.Sorted(maps.Keys(s.held)) {
 		if len(state.Revisions) == limit {
 			break
--- a/internal/published/spans.go
+++ b/internal/published/spans.go
@@ -13,6 +13,11 @@
 func (s *Store[V]) Complete(through Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.complete(through)
+}
+
+// complete is Complete for callers that hold the mutex.
+func (s *Store[V]) complete(through Position) {
 	if through.Era > s.era {
 		s.beginEra(through.Era)
 	}
--- a/internal/published/store.go
+++ b/internal/published/store.go
@@ -86,8 +86,9 @@
 	through uint64
 	// spans are the reported spans that start after through, at most maxSpans.
 	spans []span
-	// conflicts counts entries with an equal position and different bytes.
-	conflicts int
+	// conflicts counts entries with an equal position and different bytes, and outdated those of peers that the
+	// service had removed.
+	conflicts, outdated int
 	// changed is closed and replaced when an entry comes into force.
 	changed chan struct{}
 	// values is a snapshot of the decoded values, nil when outdated.
@@ -114,10 +115,50 @@
 	}
 }
 
-// Offer merges entries and returns those that came into force.
+// Offer merges entries that were read from the service, and returns those that came into force.
 func (s *Store[V]) Offer(entries ...Entry) []Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.merge(entries)
+}
+
+// OfferRelayed merges entries that a peer holds, and returns those that came into force. The peer may not know yet
+// that the service has removed a key. An entry of a key that the store does not hold was removed if the store has
+// every key up to a later position.
+func (s *Store[V]) OfferRelayed(entries ...Entry) []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := make([]Entry, 0, len(entries))
+	for _, e := range entries {
+		if s.knowsRemoved(e.Key, e.Version()) {
+			s.outdated++
+			continue
+		}
+		current = append(current, e)
+	}
+	return s.merge(current)
+}
+
+// knowsRemoved reports whether the service has removed an entry of a key that is not held. Rejected entries are not
+// held either, but their keys exist. The mutex must be held.
+func (s *Store[V]) knowsRemoved(key string, version Version) bool {
+	if _, ok := s.held[key]; ok {
+		return false
+	}
+	if _, ok := s.rejected[key]; ok {
+		return false
+	}
+	return impliesRemoved(Position{Era: s.era, Revision: s.through}, version)
+}
+
+// impliesRemoved reports whether a version of a key was removed, by a store that has every key up to a position and
+// lacks this one. Values with a sequence stay in force even if the service has lost them.
+func impliesRemoved(through Position, version Version) bool {
+	return through.Revision > 0 && version.Sequence == 0 && version.Position().Compare(through) < 0
+}
+
+// merge merges entries and returns those that came into force. The mutex must be held.
+func (s *Store[V]) merge(entries []Entry) []Entry {
 	var accepted []Entry
 	// Merge the newest first. Older entries of a key that changed often are then dropped without
 	// being decoded or spread.
@@ -238,11 +279,13 @@
 	Entries  []Entry
 }
 
-// OfferListing merges a full listing. A held key that is not in the listing, and is not newer than
-// the listing, was removed at or before its position, or its last write was lost. A listing of an
-// earlier era than the store knows has no effect.
+// OfferListing merges a full listing, after which the store has every key up to its position. A held key that is
+// not in the listing, and is not newer than the listing, was removed at or before its position, or its last write
+// was lost. A listing of an earlier era than the store knows has no effect.
 func (s *Store[V]) OfferListing(l Listing) []Entry {
-	if l.Position.Era < s.Summary().Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.Position.Era < s.era {
 		return nil
 	}
 	listed := make(map[string]bool, len(l.Entries))
@@ -250,14 +293,14 @@
 		listed[e.Key] = true
 	}
 	entries := slices.Clone(l.Entries)
-	s.mu.RLock()
 	for key, h := range s.held {
 		if !listed[key] && !h.entry.Removed && h.entry.Position().Compare(l.Position) < 0 {
 			entries = append(entries, Entry{Key: key, Era: l.Position.Era, Revision: l.Position.Revision, Removed: true})
 		}
 	}
-	s.mu.RUnlock()
-	return s.Offer(entries...)
+	accepted := s.merge(entries)
+	s.complete(l.Position)
+	return accepted
 }
 
 // Summary returns the summary of the store.
@@ -297,10 +340,8 @@
 func (s *Store[V]) Newer(sums []uint64, versions map[string]Version) (newer []Entry, wanted []string) {
 	mine := s.Differing(sums)
 	for key, v := range versions {
-		if own, ok := mine[key]; !ok || v.Compare(own) > 0 {
-			if own, ok = s.heldVersion(key); !ok || v.Compare(own) > 0 {
-				wanted = append(wanted, key)
-			}
+		if own, ok := mine[key]; (!ok || v.Compare(own) > 0) && s.wants(key, v) {
+			wanted = append(wanted, key)
 		}
 	}
 	for key, v := range mine {
@@ -311,22 +352,41 @@
 	return newer, wanted
 }
 
-// Lacks reports whether version of key is newer than the held and the rejected entry.
+// HoldsRemoved reports whether the store has entries in force that a peer, which has every key up to a position, does
+// not hold, so that the service has removed them. versions are those of the peer in the buckets whose hash differs
+// from sums.
+func (s *Store[V]) HoldsRemoved(sums []uint64, versions map[string]Version, through Position) bool {
+	for key, own := range s.Differing(sums) {
+		if _, ok := versions[key]; ok || !impliesRemoved(through, own) {
+			continue
+		}
+		if e, ok := s.Entry(key); ok && !e.Removed {
+			return true
+		}
+	}
+	return false
+}
+
+// Lacks reports whether version of key is newer than the held and the rejected entry, and the key not known to be
+// removed.
 func (s *Store[V]) Lacks(key string, version Version) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	if h, ok := s.held[key]; ok && h.version.Compare(version) >= 0 {
+	if h, ok := s.held[key]; ok && h.version.Compare(version) >= 0 || s.knowsRemoved(key, version) {
 		return false
 	}
 	r, refused := s.rejected[key]
 	return !refused || r.position().Compare(version.Position()) < 0
 }
 
-func (s *Store[V]) heldVersion(key string) (Version, bool) {
+// wants reports whether a version of a peer may come into force.
+func (s *Store[V]) wants(key string, version Version) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	h, ok := s.held[key]
-	return h.version, ok
+	if h, ok := s.held[key]; ok {
+		return version.Compare(h.version) > 0
+	}
+	return !s.knowsRemoved(key, version)
 }
 
 func bucketOf(key string) int {
--- a/internal/publisher/watcher.go
+++ b/internal/publisher/watcher.go
@@ -319,7 +319,6 @@
 		w.noteEra(values)
 		accepted := w.options.Store.OfferListing(values.Listing())
 		w.accept(accepted)
-		w.options.Store.Complete(values.Position())
 		if w.started() {
 			w.reportChanges(published.Position{}, published.Position{}, accepted)
 		}
