exchange: take no reset during an upload for the end of an answer

Callers got a part of an answer as a whole one: a server had answered a long upload at once with a 200 without a length, and reset the connection while the upload was being written.

Cause: the kernel reports a reset once, to the reader or to the writer of a connection. While an upload fills its buffers the writer gets it, and the reader gets io.EOF, which marks the end of an answer without a length or chunks.

Change: such an end counts only if the whole request was written, for which a write in progress gets 200 ms.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -27,6 +27,8 @@
 	// without receiving a byte for the other idle connections to that server to be
 	// considered silent too. It is many times a server's usual response time.
 	silenceThreshold = 200 * time.Millisecond
+	// writeGrace is how long the end of a request may still be on its way when its answer has ended.
+	writeGrace = 200 * time.Millisecond
 	// silenceWindow is how soon after each other the connections to two servers must turn out
 	// to be silent for all older idle connections to be considered silent too.
 	silenceWindow = 2 * time.Second
@@ -231,14 +233,30 @@
 }
 
 func (e *exchange) newAnswer(response *http.Response) *Answer {
-	b := &body{exchange: e, reader: response.Body, header: response.Header}
+	b := &body{exchange: e, reader: response.Body, header: response.Header, framing: framingOf(e.call.Method, response)}
 	b.reusable = !response.Close && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0)
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
-		Framing: framingOf(e.call.Method, response), Body: b,
+		Framing: b.framing, Body: b,
 	}
 }
 
+// awaitWritten reports whether the whole request is written within writeGrace.
+func (e *exchange) awaitWritten() bool {
+	if e.requestWritten() || e.writeResult == nil {
+		return e.sent
+	}
+	timer := time.NewTimer(writeGrace)
+	defer timer.Stop()
+	select {
+	case err := <-e.writeResult:
+		e.writeResult = nil
+		e.sent = err == nil
+	case <-timer.C:
+	}
+	return e.sent
+}
+
 // requestWritten reports whether the whole request has been written by now.
 func (e *exchange) requestWritten() bool {
 	if e.sent || e.writeResult == nil {
@@ -263,15 +281,22 @@
 	exchange *exchange
 	reader   io.ReadCloser
 	header   http.Header
+	framing  Framing
 	reusable bool
-	// err is how the body ended; nil while it goes on. It is io.EOF only if the framing says that the body is whole.
+	// err is how the body ended; nil while it goes on. It is io.EOF only if the body is whole as
+	// far as its framing tells.
 	err error
 	// held reports whether the body was read to its clean end and the answer was not accepted yet.
 	held bool
 }
 
-// errClosed is returned by reads from a body that was closed before its end.
-var errClosed = errors.New("exchange: read from a closed body")
+var (
+	// errClosed is returned by reads from a body that was closed before its end.
+	errClosed = errors.New("exchange: read from a closed body")
+	// errUnwritten means that a connection whose end was to mark that of the answer ended before the request was
+	// written.
+	errUnwritten = errors.New("exchange: the connection ended before the request was written")
+)
 
 // Read reads from the body. Bytes and an error may come together, and every later call returns that error again. At its end, the connection is returned to the pool if it can
 // be reused: the end of the answer was marked by its length or chunked encoding, the
@@ -285,6 +310,11 @@
 		return n, nil
 	}
 	e := b.exchange
+	if errors.Is(err, io.EOF) && b.framing == FramingConnection && !e.awaitWritten() {
+		// A reset is reported once, to the reader or to the writer of the connection. If the writer got it, the
+		// reader gets io.EOF.
+		err = errUnwritten
+	}
 	b.err = err
 	if !errors.Is(err, io.EOF) || !b.reusable || !e.requestWritten() || e.conn.reader.Buffered() > 0 || !e.stop() {
 		e.abandon()
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -253,11 +253,6 @@
 // bytes: a request of this size cannot be written whole to a server that does not read.
 const overNetworkBuffer = 8 << 20
 
-// The request is too long to be written whole, so the connection must not be reused after
-// the early answer. A request of 1 MiB would be too short: it fits into the network's
-// buffer of some 4 MiB, and if it is written whole before the end of the answer is read,
-// the connection is reused. If the server then closes it unread, the next request fails
-// with "io: read/write on closed pipe", which TestEarlyAnswerToBufferedRequest covers.
 // A body that was broken off ended as complete at the second read after it: only the first one returned its error.
 func TestBrokenBodyEndsAsCompleteAtNextRead(t *testing.T) {
 	for name, answer := range map[string]string{
@@ -299,6 +294,11 @@
 	})
 }
 
+// The request is too long to be written whole, so the connection must not be reused after
+// the early answer. A request of 1 MiB would be too short: it fits into the network's
+// buffer of some 4 MiB, and if it is written whole before the end of the answer is read,
+// the connection is reused. If the server then closes it unread, the next request fails
+// with "io: read/write on closed pipe", which TestEarlyAnswerToBufferedRequest covers.
 func TestEarlyAnswerToPartlyWrittenRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		pool, opened := serve(t, func(conn net.Conn, _ *bufio.Reader) {
