exchange, wire: reject answers with invalid statuses

Callers got an answer of status 000 as whatever answer followed it, and answers of 600 to 999 as they were.

Cause: net/http takes any three digits for a status and any version, and all statuses below 200 were skipped as interim answers, 101 too.

Change: wire.CheckHead takes versions 1.x and statuses 100 to 599 without 101. It is used where all answers of backend servers are read, and by a transport for all clients that use net/http: peers, hand-overs, stores, the product's own interface.

Evidence: TestInvalidStatusIsTakenForAnswer fails before for all seven statuses and for HTTP/2.0 and HTTP/0.9. TestSoundHeadIsRejected, a table of 35 sound answers, passes before and after, and so does TestHeadCutAtAnyByteIsAnAnswer: no head that stops in its middle is taken for an answer.

--- a/client/client.go
+++ b/client/client.go
@@ -75,7 +75,7 @@
 	}
 	return &Client{
 		options:          o,
-		http:             &http.Client{Transport: o.Transport},
+		http:             &http.Client{Transport: wire.CheckedTransport(o.Transport)},
 		ids:              make(map[netip.AddrPort]idBlock),
 		unavailableUntil: make(map[netip.AddrPort]time.Time),
 	}
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -22,17 +22,19 @@
 
 // Client calls backend servers. It is safe for concurrent use.
 type Client struct {
-	transport *http.Transport
+	transport http.RoundTripper
+	close     func()
 }
 
 // New returns a client that connects with dial.
 func New(dial Dial) *Client {
-	return &Client{transport: newTransport(dial)}
+	t := newTransport(dial)
+	return &Client{transport: wire.CheckedTransport(t), close: t.CloseIdleConnections}
 }
 
 // Close closes the idle connections. Calls in progress continue.
 func (c *Client) Close() {
-	c.transport.CloseIdleConnections()
+	c.close()
 }
 
 // Call identifies one call to a backend server.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -192,6 +192,9 @@
 		if err != nil {
 			return nil, e.readError(err)
 		}
+		if err := wire.CheckHead(response); err != nil {
+			return nil, e.readError(badAnswer("%w", err))
+		}
 		if response.StatusCode < http.StatusOK {
 			if interim++; interim > maxInterimAnswers {
 				return nil, e.readError(badAnswer("more than %d interim answers", maxInterimAnswers))
--- a/internal/gateway/components.go
+++ b/internal/gateway/components.go
@@ -19,6 +19,7 @@
 	"github.com/wingvale/wingvale/internal/relay"
 	"github.com/wingvale/wingvale/internal/suspect"
 	"github.com/wingvale/wingvale/internal/trial"
+	"github.com/wingvale/wingvale/internal/wire"
 )
 
 // newGossip returns the node's gossip with its peers.
@@ -92,5 +93,5 @@
 }
 
 func newPeerClient(dial exchange.Dial, scope tally.Scope) *http.Client {
-	return &http.Client{Transport: traffic{scope: scope}.client(peerhttp.New(peerhttp.Dial(dial), scope))}
+	return &http.Client{Transport: wire.CheckedTransport(traffic{scope: scope}.client(peerhttp.New(peerhttp.Dial(dial), scope)))}
 }
--- a/internal/handover/wire.go
+++ b/internal/handover/wire.go
@@ -15,6 +15,7 @@
 
 	"github.com/wingvale/wingvale/internal/option"
 	"github.com/wingvale/wingvale/internal/relay"
+	"github.com/wingvale/wingvale/internal/wire"
 	"github.com/wingvale/wingvale/verdict"
 )
 
@@ -227,7 +228,7 @@
 	if err := json.Unmarshal(data, (*plain)(h)); err != nil {
 		return err
 	}
-	if h.Status < http.StatusOK || h.Status > 999 {
+	if h.Status < http.StatusOK || h.Status > wire.MaxStatus {
 		return fmt.Errorf("handover: status %d", h.Status)
 	}
 	return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -165,7 +165,7 @@
 
 func newHTTPClient(dial backend.Dial) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: wire.CheckedTransport(&http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				ctx, cancel := context.WithTimeout(ctx, time.Second)
 				defer cancel()
@@ -178,7 +178,7 @@
 			// An issuer accepts a request at once. One that hangs must not block a request
 			// that could run on another node.
 			ResponseHeaderTimeout: forwardHeaderTimeout,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/publisher/client.go
+++ b/internal/publisher/client.go
@@ -47,7 +47,9 @@
 
 // New returns a client of the service at addresses, of which there must be at least one.
 func New(addresses []netip.AddrPort, dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
-	return &Client{addresses: addresses, http: &http.Client{Transport: &http.Transport{DialContext: dial, MaxResponseHeaderBytes: wire.MaxHeadBytes}}}
+	return &Client{addresses: addresses, http: &http.Client{
+		Transport: wire.CheckedTransport(&http.Transport{DialContext: dial, MaxResponseHeaderBytes: wire.MaxHeadBytes}),
+	}}
 }
 
 // Close closes the idle connections.
