--- a/internal/exchange/head_test.go
+++ b/internal/exchange/head_test.go
@@ -72,6 +72,19 @@
 	}
 }
 
+// An answer with a blank in the name of a field was passed on with that line, or with a body that had another end than
+// its server meant.
+func TestInvalidFieldNameIsPassedOn(t *testing.T) {
+	for _, line := range []string{
+		"Bad Name: x", "Trailing : x", "Content-Length : 1", "Transfer-Encoding : chunked", "Id : 1", " Leading: x", "\tLeading: x",
+		"Tab\tName: x", "Nul\x00Name: x", "Bell\x07: x", "Delete\x7f: x", "Sep(arator): x", "At@Sign: x", "High\xe9: x", ": x", " : x", "No colon",
+	} {
+		checkRejected(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 2\r\n\r\nok")
+		checkRejected(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\n"+wholeAnswer)
+	}
+	checkRejected(t, "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nok")
+}
+
 // Sound answers were rejected.
 func TestSoundHeadIsRejected(t *testing.T) {
 	for _, status := range []int{200, 201, 202, 206, 301, 400, 401, 404, 408, 409, 413, 421, 429, 431, 500, 502, 503, 504, 599} {
--- a/internal/wire/head_test.go
+++ b/internal/wire/head_test.go
@@ -41,7 +41,7 @@
 
 // Clients that use net/http took answers with invalid heads.
 func TestTransportTakesInvalidHead(t *testing.T) {
-	for _, head := range []string{"HTTP/1.1 000 X\r\n", "HTTP/1.1 600 X\r\n", "HTTP/2.0 200 OK\r\n", "HTTP/1.1 101 X\r\n"} {
+	for _, head := range []string{"HTTP/1.1 000 X\r\n", "HTTP/1.1 600 X\r\n", "HTTP/2.0 200 OK\r\n", "HTTP/1.1 101 X\r\n", "HTTP/1.1 200 OK\r\nBad Name: x\r\n"} {
 		next := &answering{answer: head + "Content-Length: 0\r\n\r\n"}
 		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://h/", http.NoBody)
 		assert.NilError(t, err)
