--- a/internal/wire/head_test.go
+++ b/internal/wire/head_test.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -59,3 +60,34 @@
 	assert.Equal(t, string(body), "ok")
 	assert.NilError(t, response.Body.Close())
 }
+
+// Clients that use net/http took an answer whose server stopped in the middle of its head.
+func TestTransportTakesCutHead(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 0\r\n\r\n"
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	cuts := make(chan int, 1)
+	go func() {
+		for cut := range cuts {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, head[:cut])
+			_ = c.Close()
+		}
+	}()
+	defer close(cuts)
+	client := &http.Client{Transport: wire.CheckedTransport(&http.Transport{DisableKeepAlives: true})}
+	for cut := range head {
+		cuts <- cut
+		// A POST with a body is sent once.
+		response, err := client.Post("http://"+l.Addr().String(), "", io.MultiReader(strings.NewReader("x")))
+		assert.Check(t, err != nil, "cut at %d: %+v", cut, response)
+		if err == nil {
+			_ = response.Body.Close()
+		}
+	}
+}
