published: forget tombstones that a complete store does not need

After 65,536 servers had left the list no host took a new one.

Cause: the tombstone of each removed key was kept for good, and counts among the keys that a store may hold.

Change: a full store forgets tombstones below the position up to which it has every key, since a key that isn't held is known to be removed there. The hashes by which hosts compare their lists no longer include tombstones, so that hosts with and without one agree.

Evidence: TestNewKeyIsRejectedAfterManyRemovals fails before. The tests of peers, publisher, gateway, node and harness pass.

--- a/internal/published/removed_test.go
+++ b/internal/published/removed_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -99,3 +100,39 @@
 	behind.Offer(published.Entry{Key: "new", Revision: 51, Data: []byte("x")})
 	assert.Check(t, !compare(at(0, 50)), "written after the position of the peer")
 }
+
+// After as many keys as a store may have had been removed, no new one was taken.
+func TestNewKeyIsRejectedAfterManyRemovals(t *testing.T) {
+	s, other := newStore(), listedStore(at(0, 1), "kept")
+	s.OfferListing(published.Listing{Position: at(0, 1), Entries: []published.Entry{{Key: "kept", Revision: 1, Data: []byte("listed")}}})
+	s.TakeChanged()
+	revision := uint64(1)
+	for i := range published.MaxKeys {
+		key := fmt.Sprint("server-", i)
+		revision += 2
+		s.Offer(published.Entry{Key: key, Revision: revision - 1, Data: []byte("x")}, published.Entry{Key: key, Revision: revision, Removed: true})
+		s.Offer(published.Entry{Key: key, Revision: revision, Removed: true})
+	}
+	added := published.Entry{Key: "new", Revision: revision + 1, Data: []byte("x")}
+	assert.Equal(t, len(s.Offer(added)), 0, "tombstones are forgotten before a later position is complete")
+	s.TakeChanged()
+	s.Complete(at(0, revision+1))
+	assert.Equal(t, len(s.Offer(added)), 1)
+	assert.Equal(t, len(s.OfferRelayed(published.Entry{Key: "server-7", Revision: 2, Data: []byte("x")})), 0, "a forgotten key is back")
+	other.Offer(added)
+	assert.Check(t, s.Summary().Same(other.Summary()), "stores with and without tombstones differ")
+	assert.Equal(t, len(s.Values()), 2)
+}
+
+// A change that its reader had not taken yet was forgotten with its tombstone.
+func TestUnreadRemovalIsForgotten(t *testing.T) {
+	s := newStore()
+	s.TakeChanged()
+	s.Offer(published.Entry{Key: "gone", Revision: 1, Removed: true})
+	for i := range published.MaxKeys {
+		s.Offer(published.Entry{Key: fmt.Sprint(i), Revision: 2, Data: []byte("x")})
+	}
+	s.Complete(at(0, 9))
+	s.Offer(published.Entry{Key: "new", Revision: 10, Data: []byte("x")})
+	assert.Check(t, slices.ContainsFunc(s.TakeChanged(), func(c published.Current[string]) bool { return c.Key == "gone" && c.Removed }))
+}
--- a/internal/published/store.go
+++ b/internal/published/store.go
@@ -25,7 +25,7 @@
 	Era uint64 `json:"era,omitempty"`
 	// Revision is the highest revision in force; 0 if no entry of the era is in force.
 	Revision uint64 `json:"revision"`
-	// Sum is the combined hash of all entries in force.
+	// Sum is the combined hash of all entries in force, without tombstones.
 	Sum uint64 `json:"sum"`
 	// Through is the revision up to which the store has every key. The store may have keys with
 	// higher revisions while it lacks others in between.
@@ -64,7 +64,7 @@
 	decode func(key string, data []byte) (V, error)
 
 	mu sync.RWMutex
-	// held has the highest valid entry of each key, including tombstones. An entry is only
+	// held has the highest valid entry of each key, including tombstones that were not forgotten. An entry is only
 	// replaced by a higher one.
 	held map[string]heldEntry[V]
 	// replaced has the last large entries that were replaced, newest last, at most maxReplaced
@@ -75,7 +75,7 @@
 	// unreported has the rejections that TakeRejected has not returned yet, at most
 	// maxUnreported.
 	unreported []Rejection
-	// sums has the combined hash of each bucket of held.
+	// sums has the combined hash of each bucket of held, without tombstones: stores may have forgotten others.
 	sums [Buckets]uint64
 	// era is the latest known era of the service, and revision the highest revision in force
 	// that belongs to it.
@@ -194,11 +194,13 @@
 		s.reject(e, err)
 		return false
 	}
-	if ok {
+	if ok && !old.entry.Removed {
 		s.sums[bucketOf(e.Key)] ^= hashOf(e.Key, old.version)
 		s.keepReplaced(old)
 	}
-	s.sums[bucketOf(e.Key)] ^= hashOf(e.Key, version)
+	if !e.Removed {
+		s.sums[bucketOf(e.Key)] ^= hashOf(e.Key, version)
+	}
 	s.held[e.Key] = heldEntry[V]{entry: e, version: version, value: value}
 	if s.changedKeys != nil {
 		s.changedKeys[e.Key] = struct{}{}
@@ -238,6 +240,9 @@
 	if len(e.Key) == 0 || len(e.Key) > MaxKeyBytes {
 		return zero, fmt.Errorf("published: key of %d bytes, want 1 to %d", len(e.Key), MaxKeyBytes)
 	}
+	if !known && len(s.held) >= MaxKeys {
+		s.forgetRemoved()
+	}
 	if !known && len(s.held) >= MaxKeys {
 		return zero, fmt.Errorf("published: more than %d keys", MaxKeys)
 	}
@@ -247,6 +252,17 @@
 	return s.decode(e.Key, e.Data)
 }
 
+// forgetRemoved forgets the tombstones of keys that are known to be removed without them. The mutex must be held.
+func (s *Store[V]) forgetRemoved() {
+	through := Position{Era: s.era, Revision: s.through}
+	for key, h := range s.held {
+		if _, unread := s.changedKeys[key]; h.entry.Removed && !unread && impliesRemoved(through, h.version) {
+			delete(s.held, key)
+			delete(s.replaced, key)
+		}
+	}
+}
+
 func (s *Store[V]) reject(e Entry, err error) {
 	if len(e.Key) > MaxKeyBytes || len(s.rejected) >= MaxKeys {
 		return
