--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -279,6 +279,14 @@
 	_ = e.conn.Close()
 }
 
+var (
+	// errClosed is returned by reads from a body that was closed before its end.
+	errClosed = errors.New("exchange: read from a closed body")
+	// errUnwritten means that a connection whose end was to mark that of the answer ended before the request was
+	// written.
+	errUnwritten = errors.New("exchange: the connection ended before the request was written")
+)
+
 // body reads an answer's body and returns the connection to the pool at its clean end.
 type body struct {
 	exchange *exchange
@@ -286,24 +294,16 @@
 	header   http.Header
 	framing  Framing
 	reusable bool
-	// err is how the body ended; nil while it goes on. It is io.EOF only if the body is whole as
-	// far as its framing tells.
+	// err is how the body ended; nil while it goes on. It is io.EOF only if the body is whole, as far as its framing
+	// shows.
 	err error
 	// held reports whether the body was read to its clean end and the answer was not accepted yet.
 	held bool
 }
 
-var (
-	// errClosed is returned by reads from a body that was closed before its end.
-	errClosed = errors.New("exchange: read from a closed body")
-	// errUnwritten means that a connection whose end was to mark that of the answer ended before the request was
-	// written.
-	errUnwritten = errors.New("exchange: the connection ended before the request was written")
-)
-
-// Read reads from the body. Bytes and an error may come together, and every later call returns that error again. At its end, the connection is returned to the pool if it can
-// be reused: the end of the answer was marked by its length or chunked encoding, the
-// request was written whole, and no further data has arrived.
+// Read reads from the body. Bytes may come together with an error, which all later calls return again. At its end, the
+// connection is returned to the pool if it can be reused: the end of the answer was marked by its length or chunked
+// encoding, the request was written whole, and no further data has arrived.
 func (b *body) Read(buffer []byte) (int, error) {
 	if b.err != nil {
 		return 0, b.err
--- a/internal/published/store.go
+++ b/internal/published/store.go
@@ -123,8 +123,8 @@
 }
 
 // OfferRelayed merges entries that a peer holds, and returns those that came into force. The peer may not know yet
-// that the service has removed a key. An entry of a key that the store does not hold was removed if the store has
-// every key up to a later position.
+// that the service has removed a key. If the store has every key up to some position, and does not hold this one, an
+// earlier entry of it was removed.
 func (s *Store[V]) OfferRelayed(entries ...Entry) []Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -151,8 +151,8 @@
 	return impliesRemoved(Position{Era: s.era, Revision: s.through}, version)
 }
 
-// impliesRemoved reports whether a version of a key was removed, by a store that has every key up to a position and
-// lacks this one. Values with a sequence stay in force even if the service has lost them.
+// impliesRemoved reports whether the service has removed a version, given that a store which has every key up to a
+// position lacks its key. Values with a sequence stay in force even if the service has lost them.
 func impliesRemoved(through Position, version Version) bool {
 	return through.Revision > 0 && version.Sequence == 0 && version.Position().Compare(through) < 0
 }
--- a/internal/relay/late.go
+++ b/internal/relay/late.go
@@ -19,7 +19,7 @@
 // hold keeps events of an engine that was silent until it sends more after lateEventDelay, which shows that it
 // still works on the stream, so that a second engine isn't ended for bytes that were on their way. The second
 // engine's events are those of another run: they can't follow these. broken means that the answer broke off right
-// behind the events; nothing follows them then. It reports whether the events are held.
+// behind the events, so that nothing can show that the engine still works. It reports whether the events are held.
 func (s *stream) hold(a *attempt, now time.Time, events []byte, broken bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/wire/head.go
+++ b/internal/wire/head.go
@@ -10,13 +10,11 @@
 	"strings"
 )
 
-const (
-	// MinStatus and MaxStatus are the limits of valid status codes (RFC 9110, section 15).
-	MinStatus = 100
-	MaxStatus = 599
-	// tokenPunctuation has the characters of a token that are neither letters nor digits (RFC 9110, section 5.6.2).
-	tokenPunctuation = "!#$%&'*+-.^_`|~"
-)
+// MaxStatus is the highest valid status code (RFC 9110, section 15).
+const MaxStatus = 599
+
+// tokenPunctuation has the characters of a token that are neither letters nor digits (RFC 9110, section 5.6.2).
+const tokenPunctuation = "!#$%&'*+-.^_`|~"
 
 // errInvalidHead is wrapped by the errors for heads that are not those of an HTTP/1 response.
 var errInvalidHead = errors.New("wire: invalid head of a response")
@@ -29,7 +27,7 @@
 		return fmt.Errorf("%w: version %.20q", errInvalidHead, r.Proto)
 	}
 	// No request of this project asks for another protocol.
-	if r.StatusCode < MinStatus || r.StatusCode > MaxStatus || r.StatusCode == http.StatusSwitchingProtocols {
+	if r.StatusCode < http.StatusContinue || r.StatusCode > MaxStatus || r.StatusCode == http.StatusSwitchingProtocols {
 		return fmt.Errorf("%w: status %03d", errInvalidHead, r.StatusCode)
 	}
 	for name := range r.Header {
