origin: guard the random numbers of the tests' hosts

Cause, by reading: hosts that start again take random numbers under the mutex, and the test took some beside them without it.

Change: all random numbers are taken under the mutex.

--- a/internal/origin/group_test.go
+++ b/internal/origin/group_test.go
@@ -135,7 +135,7 @@
 				for i := range 2 * size {
 					s.begin(h, h.peers[i%size])
 				}
-				h.random.Shuffle(len(s.names), func(i, k int) { s.names[i], s.names[k] = s.names[k], s.names[i] })
+				h.shuffle(s.names)
 				const rounds = 16
 				for chunk := range slices.Chunk(s.names, (len(s.names)+rounds-1)/rounds) {
 					time.Sleep(500 * time.Millisecond)
--- a/internal/origin/hosts_test.go
+++ b/internal/origin/hosts_test.go
@@ -57,11 +57,11 @@
 
 // hosts are several hosts that are connected to each other.
 type hosts struct {
-	peers  []origin.Host
-	random *rand.Rand
+	peers []origin.Host
 
 	// mu guards what follows. alive has the current runs, and listed what is known of them.
 	mu     sync.Mutex
+	random *rand.Rand
 	alive  map[netip.AddrPort]*run
 	listed map[netip.AddrPort]origin.Host
 	views  []view
@@ -92,6 +92,20 @@
 	return h
 }
 
+// randomIndex returns a random number from 0 to below n.
+func (h *hosts) randomIndex(n int) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.random.IntN(n)
+}
+
+// shuffle orders names at random.
+func (h *hosts) shuffle(names []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.random.Shuffle(len(names), func(i, k int) { names[i], names[k] = names[k], names[i] })
+}
+
 // publish makes the listed hosts the newest view. The mutex must be held.
 func (h *hosts) publish() {
 	h.views = append(h.views, view{at: time.Now(), hosts: slices.Collect(maps.Values(h.listed))})
@@ -300,7 +314,7 @@
 	for _, name := range names {
 		var g *origin.Group
 		for g == nil {
-			g = h.at(at[h.random.IntN(len(at))])
+			g = h.at(at[h.randomIndex(len(at))])
 		}
 		f.add(g.Look(ctx, name), s.versions[name])
 	}
