published: forget rejected values of keys that were removed

Found by reading the change for removed entries: a key whose last value was rejected counts as one that the service has, so that its last valid value may come from a peer. That held on after the key had been removed, and a peer that was behind could bring the key back.

Change: a listing without the key ends its rejection.

Evidence: TestRemovedKeyIsTakenFromPeerAfterInvalidValue fails before. The tests of published and peer pass.

--- a/internal/published/removed_test.go
+++ b/internal/published/removed_test.go
@@ -87,6 +87,18 @@
 	assert.Equal(t, value, "good")
 }
 
+// A key was taken from a peer after its removal because its last value had been rejected.
+func TestRemovedKeyIsTakenFromPeerAfterInvalidValue(t *testing.T) {
+	s := published.New(func(string, []byte) (string, error) { return "", errors.New("invalid") })
+	s.OfferListing(published.Listing{Position: at(0, 50), Entries: []published.Entry{{Key: "k", Revision: 20, Data: []byte("x")}}})
+	old := published.Entry{Key: "k", Revision: 10, Removed: true}
+	assert.Check(t, s.Lacks("k", published.Version{Revision: 30}))
+	s.OfferListing(published.Listing{Position: at(0, 60)})
+	assert.Check(t, !s.Lacks("k", published.Version{Revision: 30}))
+	assert.Equal(t, len(s.OfferRelayed(old)), 0)
+	assert.Equal(t, len(s.State(9).Rejected), 0)
+}
+
 // A host that still held a removed key took a peer's word that it had everything.
 func TestHostWithRemovedKeyCountsAsComplete(t *testing.T) {
 	behind, current := listedStore(at(0, 5), "kept", "gone"), listedStore(at(0, 50), "kept")
--- a/internal/published/store.go
+++ b/internal/published/store.go
@@ -314,6 +314,11 @@
 			entries = append(entries, Entry{Key: key, Era: l.Position.Era, Revision: l.Position.Revision, Removed: true})
 		}
 	}
+	for key, r := range s.rejected {
+		if !listed[key] && r.position().Compare(l.Position) < 0 {
+			delete(s.rejected, key)
+		}
+	}
 	accepted := s.merge(entries)
 	s.complete(l.Position)
 	return accepted
